--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# make demo: the main job, on a fleet of twelve nodes with stand-ins.
+# make test: the tests.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test check format generate search clean
+
+demo: $(VENV)/ready
+	$(BIN)/python -m demo
+
+test: $(VENV)/ready
+	$(BIN)/python tools/run_tests.py
+
+check: $(VENV)/ready
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 .
+	$(BIN)/mypy marjoramlead standins demo tools bench
+	$(BIN)/python tools/generate.py --check
+
+format: $(VENV)/ready
+	$(BIN)/ruff check --select I --fix .
+	$(BIN)/ruff format .
+
+generate: $(VENV)/ready
+	$(BIN)/python tools/generate.py
+
+$(VENV)/ready: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; with ``--json`` the last line is one result object."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: two customers, four data centres, twelve nodes."""
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,316 @@
+"""Run the demonstration; exit 0 only if every stated outcome held."""
+
+import json
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from collections import Counter
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+from demo.fleet import (
+    ADDRESS,
+    Fleet,
+    Member,
+    hosts_documents,
+    lay_out,
+    running_fleet,
+)
+from marjoramlead.documents import OPERATIONS
+from marjoramlead.errors import MarjoramleadError
+from marjoramlead.node_client import fetch_status, publish
+from marjoramlead.porcelain import (
+    check_contract,
+    set_out,
+    submit,
+    wait_in_force,
+)
+
+DATA_CENTRES = ('tamworth', 'walsall', 'nuneaton', 'lichfield')
+SERVICES = (
+    ('te-puna-tatai', 'catalogue'),
+    ('te-puna-tatai', 'publishing'),
+    ('tamworth', 'kits'),
+)
+EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
+IN_FORCE_LIMIT_S = 6.0
+START_LIMIT_S = 20.0
+CALL_LIMIT_S = 10.0
+WORKBOOK_BYTES = 3_000_000
+
+
+class Ended(NamedTuple):
+    """How one call ended."""
+
+    status: int
+    verdict: str
+    body: bytes
+
+
+class Account:
+    """The outcomes stated so far, and whether they held."""
+
+    def __init__(self) -> None:
+        self.failed = 0
+
+    def state(self, outcome: str, *, held: bool) -> None:
+        """Print one outcome and remember whether it held."""
+        self.failed += not held
+        mark = 'ok    ' if held else 'FAILED'
+        sys.stdout.write(f'{mark} {outcome}\n')
+
+
+def call(
+    member: Member,
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    key: str = '',
+) -> Ended:
+    """Make one call at a node's gateway."""
+    fields = {'Idempotency-Key': key} if key else {}
+    address = f'http://{ADDRESS}:{member.gateway}{path}'
+    req = urllib.request.Request(address, body, fields, method=method)
+    try:
+        with urllib.request.urlopen(req, timeout=CALL_LIMIT_S) as answer:
+            verdict = answer.headers['X-Marjoram-Verdict']
+            return Ended(answer.status, verdict, answer.read())
+    except urllib.error.HTTPError as exc:
+        verdict = exc.headers['X-Marjoram-Verdict']
+        return Ended(exc.code, verdict, exc.read())
+    except OSError as exc:
+        return Ended(0, 'none', str(exc).encode())
+
+
+def wait_until(
+    condition: Callable[[], bool],
+    limit: float = START_LIMIT_S,
+) -> bool:
+    """Wait for a condition, for a bounded time."""
+    deadline = time.monotonic() + limit
+    while time.monotonic() < deadline:
+        try:
+            if condition():
+                return True
+        except MarjoramleadError:
+            time.sleep(0.1)
+        time.sleep(0.1)
+    return False
+
+
+def follow(fleet: Fleet, account: Account, name: str, revision: int) -> None:
+    """State within what time a revision was in force on all nodes."""
+    began = time.monotonic()
+    nodes = [f'{ADDRESS}:{member.admin}' for member in fleet.members]
+    progress = list(
+        wait_in_force(nodes, name, revision, began + IN_FORCE_LIMIT_S),
+    )[-1]
+    taken = time.monotonic() - began
+    account.state(
+        f'{name} at revision {revision}: in force on {progress.done} of '
+        f'{len(nodes)} nodes in {taken:.1f} s',
+        held=not progress.behind,
+    )
+
+
+def publish_all(fleet: Fleet, account: Account) -> None:
+    """Publish host lists and contracts."""
+    publisher = f'http://{ADDRESS}:{fleet.source}'
+    for name, text in hosts_documents(fleet.members).items():
+        publish(publisher, name, text, 0)
+    for example in ('te-puna-tatai', 'tamworth'):
+        checked = check_contract(EXAMPLES / f'{example}.json')
+        follow(fleet, account, checked.name, submit(publisher, checked))
+
+
+def browse(fleet: Fleet, account: Account, calls: int) -> None:
+    """Browse both catalogues through all nodes."""
+    ended = Counter(
+        call(member, 'GET', path).status
+        for member in calls * list(fleet.members)
+        for path in ('/te-puna-tatai/catalogue', '/tamworth/kits')
+    )
+    account.state(
+        f'browsing: {dict(ended)} (status: calls)',
+        held=set(ended) == {200},
+    )
+
+
+def publish_once(fleet: Fleet, account: Account) -> None:
+    """Publish a template, then ask again with the same key elsewhere."""
+    path = '/te-puna-tatai/templates'
+    key = 'template-7-version-2'
+    first = call(fleet.members[0], 'POST', path, b'v2', key)
+    again = call(fleet.members[5], 'POST', path, b'v2', key)
+    account.state(
+        f'publication: {first.status} {first.verdict}',
+        held=first.status == 200,
+    )
+    account.state(
+        f'same key at another node: {again.status} {again.verdict}',
+        held=(again.status, again.verdict) == (409, 'may_have_run'),
+    )
+    account.state(
+        f'publication ran {ran_counts(fleet)[key]} time',
+        held=ran_counts(fleet)[key] == 1,
+    )
+
+
+def upload(fleet: Fleet, account: Account) -> None:
+    """Upload a workbook through a node of another service."""
+    path = '/te-puna-tatai/workbooks/9'
+    ended = call(fleet.members[2], 'PUT', path, bytes(WORKBOOK_BYTES))
+    received = json.loads(ended.body).get('bytes')
+    account.state(
+        f'workbook of {WORKBOOK_BYTES} bytes: {ended.status}, '
+        f'{received} bytes arrived',
+        held=received == WORKBOOK_BYTES,
+    )
+
+
+def ran_counts(fleet: Fleet) -> Counter[str]:
+    """Add up how often each request ran, over all targets."""
+    total: Counter[str] = Counter()
+    for member in fleet.members:
+        total.update(history(member)['ran'])
+    return total
+
+
+def history(member: Member) -> dict:
+    """Ask a target what it did."""
+    address = f'http://{ADDRESS}:{member.target}/ran'
+    with urllib.request.urlopen(address, timeout=CALL_LIMIT_S) as answer:
+        return json.load(answer)
+
+
+def change_contract(fleet: Fleet, account: Account) -> None:
+    """Publish a change, then a contract that must be refused, then mend it."""
+    publisher = f'http://{ADDRESS}:{fleet.source}'
+    text = (EXAMPLES / 'tamworth.json').read_text()
+    changed = fleet.folder / 'changed.json'
+    changed.write_text(text.replace('"queue": 20', '"queue": 25'))
+    checked = check_contract(changed)
+    revision = submit(publisher, checked)
+    follow(fleet, account, checked.name, revision)
+    bad = text.replace('"look-up", "service": "kits"', '"x", "service": "x"')
+    bad_revision = publish(publisher, checked.name, bad, revision)
+    state_refusal(fleet, account, checked.name, revision)
+    mended = publish(publisher, checked.name, checked.text, bad_revision)
+    follow(fleet, account, checked.name, mended)
+
+
+def state_refusal(
+    fleet: Fleet,
+    account: Account,
+    name: str,
+    revision: int,
+) -> None:
+    """State that the revision after this one is refused everywhere."""
+    nodes = [f'{ADDRESS}:{member.admin}' for member in fleet.members]
+    refused = wait_until(
+        lambda: all(_refuses(node, revision + 1) for node in nodes),
+        IN_FORCE_LIMIT_S,
+    )
+    account.state(
+        f'bad contract at revision {revision + 1}: refused on all nodes',
+        held=refused,
+    )
+    kept = all(_holds(node, name, revision) for node in nodes)
+    account.state(f'revision {revision} stays in force', held=kept)
+
+
+def _refuses(node: str, revision: int) -> bool:
+    refused = fetch_status(node)['refused']
+    return any(each['revision'] == revision for each in refused)
+
+
+def _holds(node: str, name: str, revision: int) -> bool:
+    documents = fetch_status(node)['documents']
+    return any(
+        (each['name'], each['revision']) == (name, revision)
+        for each in documents
+    )
+
+
+def take_out(fleet: Fleet, account: Account) -> None:
+    """Take a data centre out, call, and bring it back."""
+    publisher = f'http://{ADDRESS}:{fleet.source}'
+    name = DATA_CENTRES[0]
+    inside = [each for each in fleet.members if each.data_centre == name]
+    follow(fleet, account, OPERATIONS, set_out(publisher, name, out=True))
+    before = work_done(inside)
+    browse(fleet, account, 2)
+    account.state(
+        f'{name} is out: {work_done(inside) - before} new requests there',
+        held=work_done(inside) == before,
+    )
+    follow(fleet, account, OPERATIONS, set_out(publisher, name, out=False))
+    browse(fleet, account, 2)
+    account.state(
+        f'{name} is back: {work_done(inside) - before} new requests there',
+        held=work_done(inside) > before,
+    )
+
+
+def work_done(members: Sequence[Member]) -> int:
+    """Count the requests that ran at some targets."""
+    return sum(sum(history(member)['ran'].values()) for member in members)
+
+
+def show(fleet: Fleet) -> None:
+    """Print what each node says is in force."""
+    for member in fleet.members:
+        status = fetch_status(f'{ADDRESS}:{member.admin}')
+        held = ', '.join(
+            f'{each["name"]}@{each["revision"]}'
+            for each in status['documents']
+            if not each['name'].startswith('hosts/')
+        )
+        sys.stdout.write(f'       {status["host"]}: {held}\n')
+
+
+def run(fleet: Fleet, account: Account) -> None:
+    """Go through the whole of it."""
+    nodes = [f'{ADDRESS}:{member.admin}' for member in fleet.members]
+    up = wait_until(lambda: all(map(fetch_status, nodes)))
+    account.state(f'{len(nodes)} nodes are up', held=up)
+    publish_all(fleet, account)
+    browse(fleet, account, 3)
+    publish_once(fleet, account)
+    upload(fleet, account)
+    change_contract(fleet, account)
+    take_out(fleet, account)
+    show(fleet)
+    collapses = sum(history(each)['collapses'] for each in fleet.members)
+    account.state(f'{collapses} cold targets overloaded', held=not collapses)
+    twice = [key for key, count in ran_counts(fleet).items() if count > 1]
+    account.state(f'{len(twice)} requests ran twice', held=not twice)
+
+
+def run_fleet(account: Account) -> Sequence['subprocess.Popen[bytes]']:
+    """Run the fleet in a folder of its own, and end it."""
+    members = lay_out(DATA_CENTRES, SERVICES)
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        running_fleet(Path(folder), members) as fleet,
+    ):
+        run(fleet, account)
+        return list(fleet.processes.values())
+
+
+def main() -> int:
+    """Run the fleet, and sum up."""
+    account = Account()
+    processes = run_fleet(account)
+    alive = sum(process.poll() is None for process in processes)
+    account.state(f'{alive} processes left behind', held=not alive)
+    sys.stdout.write(f'{account.failed} outcomes failed\n')
+    return min(account.failed, 1)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/demo/fleet.py
@@ -0,0 +1,200 @@
+"""Lay out and run a small fleet as separate processes on loopback."""
+
+import json
+import os
+import signal
+import socket
+import subprocess  # the demonstration starts the fleet
+import sys
+import time
+from collections.abc import Iterator, Sequence
+from contextlib import ExitStack, contextmanager
+from itertools import islice, product
+from pathlib import Path
+from typing import NamedTuple
+
+from marjoramlead.generated.hosts_types import HostEntry, HostsDocument
+
+__all__ = ('Fleet', 'Member', 'free_ports', 'running_fleet')
+
+ADDRESS = '127.0.0.1'
+KEY = 'demonstration-key'
+STOP_LIMIT_S = 5
+PORTS_EACH = 5
+SEEDS = 3
+
+
+class Member(NamedTuple):
+    """One host: a node with its target."""
+
+    host: str
+    data_centre: str
+    customer: str
+    service: str
+    gateway: int
+    guard: int
+    control: int
+    admin: int
+    target: int
+
+
+class Fleet(NamedTuple):
+    """A fleet that runs, and where its settings are."""
+
+    folder: Path
+    source: int
+    members: Sequence[Member]
+    processes: dict[str, 'subprocess.Popen[bytes]']
+
+
+def free_ports(count: int) -> list[int]:
+    """Find so many ports that nobody listens on."""
+    with ExitStack() as held:
+        return [_free_port(held) for _each in range(count)]
+
+
+def _free_port(held: ExitStack) -> int:
+    sock = held.enter_context(socket.socket())
+    sock.bind((ADDRESS, 0))
+    return int(sock.getsockname()[1])
+
+
+def lay_out(
+    data_centres: Sequence[str],
+    services: Sequence[tuple[str, str]],
+) -> list[Member]:
+    """Place each service on one host of each data centre."""
+    places = list(product(data_centres, services))
+    ports = iter(free_ports(PORTS_EACH * len(places)))
+    return [
+        Member(
+            f'{data_centre}-{service}',
+            data_centre,
+            customer,
+            service,
+            *islice(ports, PORTS_EACH),
+        )
+        for data_centre, (customer, service) in places
+    ]
+
+
+def hosts_documents(members: Sequence[Member]) -> dict[str, str]:
+    """Write the platform's host lists, one a data centre."""
+    lists: dict[str, HostsDocument] = {}
+    for member in members:
+        name = member.data_centre
+        empty: HostsDocument = {'data_centre': name, 'hosts': []}
+        document = lists.setdefault(name, empty)
+        document['hosts'].append(host_entry(member))
+    return {
+        f'hosts/{name}': json.dumps(document)
+        for name, document in lists.items()
+    }
+
+
+def host_entry(member: Member) -> HostEntry:
+    """Describe a host as the platform does."""
+    return {
+        'host': member.host,
+        'address': ADDRESS,
+        'guard_port': member.guard,
+        'control_port': member.control,
+        'customer': member.customer,
+        'service': member.service,
+        'state': 'live',
+    }
+
+
+@contextmanager
+def running_fleet(
+    folder: Path,
+    members: Sequence[Member],
+) -> Iterator[Fleet]:
+    """Run the stand-ins and the nodes; end them all afterwards."""
+    fleet = Fleet(folder, free_ports(1)[0], members, {})
+    try:
+        start_all(fleet)
+        yield fleet
+    finally:
+        stop_all(fleet)
+
+
+def start_all(fleet: Fleet) -> None:
+    """Start the source, the targets and the nodes."""
+    port = f'--port={fleet.source}'
+    start(fleet, 'source', ['-m', 'standins.source', port])
+    for member in fleet.members:
+        start_target(fleet, member)
+        start_node(fleet, member)
+
+
+def start_target(fleet: Fleet, member: Member) -> None:
+    """Start one target."""
+    start(
+        fleet,
+        f'target-{member.host}',
+        [
+            *('-m', 'standins.target', f'--port={member.target}'),
+            *(f'--host={member.host}', '--slots=6', '--cold-slots=2'),
+            '--warm-answers=60',
+        ],
+    )
+
+
+def start_node(fleet: Fleet, member: Member) -> None:
+    """Start one node."""
+    path = fleet.folder / f'{member.host}.json'
+    path.write_text(json.dumps(_settings(fleet, member)))
+    argv = ['-m', 'marjoramlead.daemon_cli', f'--settings={path}']
+    start(fleet, f'node-{member.host}', argv)
+
+
+def start(fleet: Fleet, name: str, argv: Sequence[str]) -> None:
+    """Start one process, its output in a file of its own."""
+    with (fleet.folder / f'{name}.log').open('ab') as log:
+        fleet.processes[name] = subprocess.Popen(  # our own
+            [sys.executable, *argv],
+            stdout=log,
+            stderr=log,
+            env={**os.environ, 'PYTHONPATH': str(Path.cwd())},
+        )
+
+
+def stop_all(fleet: Fleet) -> None:
+    """End every process that was started."""
+    for process in fleet.processes.values():
+        process.send_signal(signal.SIGTERM)
+    limit = time.monotonic() + STOP_LIMIT_S
+    for process in fleet.processes.values():
+        try:
+            process.wait(max(0, limit - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+def _settings(fleet: Fleet, member: Member) -> dict[str, object]:
+    others = [each for each in fleet.members if each.host != member.host]
+    return {
+        'host': member.host,
+        'data_centre': member.data_centre,
+        'address': ADDRESS,
+        'ports': {
+            'gateway': member.gateway,
+            'guard': member.guard,
+            'control': member.control,
+            'admin': member.admin,
+        },
+        'target': {
+            'customer': member.customer,
+            'service': member.service,
+            'address': ADDRESS,
+            'port': member.target,
+            'load_path': '/load',
+        },
+        'source': f'http://{ADDRESS}:{fleet.source}',
+        'seeds': [f'{ADDRESS}:{each.control}' for each in others[:SEEDS]],
+        'expected_hosts': len(fleet.members),
+        'key': KEY,
+        'log_level': 'info',
+    }
--- /dev/null
+++ b/marjoramlead/agent.py
@@ -0,0 +1,329 @@
+"""Decide when to read the source, whom to compare with, and whom to tell.
+
+The agent does no I/O. Each function takes an event and the time, changes
+the agent's state and returns the effects to carry out.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Final, NamedTuple
+
+from marjoramlead.counters import Counters
+from marjoramlead.frames import (
+    Merge,
+    bare_frame,
+    documents_for,
+    fill_missing,
+    frame_heads,
+    frame_refusals,
+    merge_frame,
+    wanted_names,
+)
+from marjoramlead.generated.frame_types import Frame
+from marjoramlead.peers import (
+    Identity,
+    PeerView,
+    choose_peer,
+    choose_push,
+    view_of,
+)
+from marjoramlead.readers import cold_odds, read_period, readers_allowed
+from marjoramlead.versions import (
+    Outcome,
+    RefusedVersion,
+    Version,
+    VersionStore,
+    heads_after,
+    offer,
+    withdraw_absent,
+)
+
+__all__ = (
+    'TICK_S',
+    'Agent',
+    'Effect',
+    'Exchange',
+    'Listing',
+    'ReadSource',
+    'on_listing',
+    'on_read_failed',
+    'on_reply',
+    'on_request',
+    'on_tick',
+    'source_age',
+)
+
+TICK_S: Final = 0.25
+PULL_PERIOD_S: Final = 1.0
+RETRY_PERIOD_S: Final = 0.5
+JITTER: Final = 0.2
+MAX_LEARNED: Final = 64
+NEVER_SEEN_AGE_S: Final = 1e6
+
+
+class Listing(NamedTuple):
+    """What the source answered.
+
+    Attributes
+    ----------
+    revision
+        Of the listing as a whole.
+    changed
+        Documents newer than the revision that was asked for.
+    names
+        All documents that the source holds.
+    """
+
+    revision: int
+    changed: Sequence[Version]
+    names: frozenset[str]
+
+
+class Exchange(NamedTuple):
+    """Send a frame to a peer and hand its reply to ``on_reply``."""
+
+    address: str
+    frame: Frame
+
+
+class ReadSource(NamedTuple):
+    """Ask the source for what is newer than a revision."""
+
+    after: int
+
+
+Effect = Exchange | ReadSource
+
+
+@dataclass(slots=True)
+class Agent:
+    """State of the config agent of one node.
+
+    Attributes
+    ----------
+    learned
+        Control addresses that frames came from, and when.
+    source_seen_at
+        When any node is known to have had an answer of the source.
+    source_revision
+        Revision of the last listing that this node read itself.
+    quiet_ticks
+        Ticks without a host list since the start or the last failed read.
+    in_force_since
+        When each document's present version was put in force here.
+    """
+
+    identity: Identity
+    rng: Random
+    counters: Counters
+    store: VersionStore = field(default_factory=VersionStore)
+    view: PeerView = field(default_factory=PeerView)
+    viewed_hosts: object = None
+    learned: dict[str, float] = field(default_factory=dict)
+    source_seen_at: float = -NEVER_SEEN_AGE_S
+    source_revision: int = 0
+    is_reading: bool = False
+    next_read_at: float = 0
+    next_pull_at: float = 0
+    quiet_ticks: int = 0
+    in_force_since: dict[str, float] = field(default_factory=dict)
+
+
+def source_age(agent: Agent, now: float) -> float:
+    """Seconds since any node is known to have had an answer of the source."""
+    return min(now - agent.source_seen_at, NEVER_SEEN_AGE_S)
+
+
+def on_tick(agent: Agent, now: float) -> list[Effect]:
+    """Act on the passing of time; called every ``TICK_S`` seconds."""
+    effects: list[Effect] = []
+    if now >= agent.next_pull_at:
+        effects.extend(_pull(agent, now))
+    if not agent.is_reading and _may_read(agent, now):
+        agent.is_reading = True
+        agent.counters.add('source.reads')
+        effects.append(ReadSource(agent.source_revision))
+    return effects
+
+
+def on_listing(agent: Agent, listing: Listing, now: float) -> list[Effect]:
+    """Merge an answer of the source and tell peers what is new."""
+    agent.is_reading = False
+    agent.next_read_at = now
+    agent.source_seen_at = now
+    if listing.revision < agent.source_revision:
+        agent.counters.add('source.stale')
+        agent.next_read_at = now + PULL_PERIOD_S
+    agent.source_revision = max(agent.source_revision, listing.revision)
+    outcomes = [offer(agent.store, version) for version in listing.changed]
+    _count_outcomes(agent, outcomes)
+    withdrawn = withdraw_absent(
+        agent.store,
+        listing.names,
+        listing.revision,
+    )
+    news = [
+        version
+        for version, outcome in zip(listing.changed, outcomes, strict=True)
+        if outcome is Outcome.APPLIED
+    ]
+    refusals = [
+        agent.store.refused[version.name]
+        for version, outcome in zip(listing.changed, outcomes, strict=True)
+        if outcome is Outcome.REFUSED and version.name in agent.store.refused
+    ]
+    return _tell(agent, news + withdrawn, refusals, now)
+
+
+def on_read_failed(agent: Agent, now: float) -> None:
+    """Wait before the source is asked again."""
+    agent.is_reading = False
+    agent.quiet_ticks = 0
+    agent.counters.add('source.failed')
+    jitter = agent.rng.uniform(1 - JITTER, 1 + JITTER)
+    period = read_period(readers_allowed(source_age(agent, now)))
+    agent.next_read_at = now + period * jitter
+
+
+def on_request(
+    agent: Agent,
+    frame: Frame,
+    now: float,
+) -> tuple[Frame, list[Effect]]:
+    """Merge a peer's frame.
+
+    Returns
+    -------
+    The reply, and the effects of what the frame brought.
+    """
+    merge = _merge(agent, frame, now)
+    reply = bare_frame(agent.identity, agent.store, source_age(agent, now))
+    reply['wants'] = wanted_names(agent.store, frame)
+    reply['documents'] = documents_for(agent.store, frame['wants'])
+    fill_missing(reply, agent.store, frame)
+    return reply, _tell(agent, merge.applied, merge.refusals, now)
+
+
+def on_reply(
+    agent: Agent,
+    exchange: Exchange,
+    reply: Frame,
+    now: float,
+) -> list[Effect]:
+    """Merge the reply to an exchange; go on while either side lacks some.
+
+    Parameters
+    ----------
+    agent
+        The node's agent.
+    exchange
+        What was sent.
+    reply
+        What came back.
+    now
+        Seconds on the node's monotonic clock.
+    """
+    merge = _merge(agent, reply, now)
+    effects = _tell(agent, merge.applied, merge.refusals, now)
+    follow_up = _follow_up(agent, exchange, reply, now)
+    if follow_up is not None:
+        effects.append(Exchange(exchange.address, follow_up))
+    return effects
+
+
+def _pull(agent: Agent, now: float) -> list[Effect]:
+    is_cold = agent.view.is_empty()
+    period = TICK_S if is_cold else PULL_PERIOD_S
+    jitter = agent.rng.uniform(1 - JITTER, 1 + JITTER)
+    agent.next_pull_at = now + period * jitter
+    others = sorted({*agent.identity.seeds, *agent.learned})
+    address = choose_peer(agent.view, others, agent.rng)
+    if address is None or address == agent.identity.control:
+        return []
+    agent.counters.add('peer.pulls')
+    return [Exchange(address, _own_frame(agent, now))]
+
+
+def _may_read(agent: Agent, now: float) -> bool:
+    if now < agent.next_read_at:
+        return False
+    if agent.view.is_empty():
+        agent.quiet_ticks += 1
+        odds = cold_odds(
+            agent.identity.expected_hosts,
+            TICK_S,
+            agent.quiet_ticks,
+        )
+        return agent.rng.random() < odds
+    return agent.view.rank < readers_allowed(source_age(agent, now))
+
+
+def _own_frame(agent: Agent, now: float) -> Frame:
+    return bare_frame(agent.identity, agent.store, source_age(agent, now))
+
+
+def _merge(agent: Agent, frame: Frame, now: float) -> Merge:
+    _learn(agent, frame['control'], now)
+    seen_at = now - frame['source_age_ms'] / 1000
+    agent.source_seen_at = max(agent.source_seen_at, seen_at)
+    merge = merge_frame(agent.store, frame)
+    _count_outcomes(agent, merge.outcomes)
+    return merge
+
+
+def _learn(agent: Agent, address: str, now: float) -> None:
+    if address == agent.identity.control:
+        return
+    agent.learned.pop(address, None)
+    agent.learned[address] = now
+    if len(agent.learned) > MAX_LEARNED:
+        agent.learned.pop(next(iter(agent.learned)))
+
+
+def _follow_up(
+    agent: Agent,
+    exchange: Exchange,
+    reply: Frame,
+    now: float,
+) -> Frame | None:
+    if reply['root'] == agent.store.root:
+        return None
+    frame = _own_frame(agent, now)
+    frame['wants'] = wanted_names(agent.store, reply)
+    frame['documents'] = documents_for(agent.store, reply['wants'])
+    if frame['wants'] or frame['documents']:
+        return frame
+    if exchange.frame['full']:
+        return None
+    frame['full'] = True
+    frame['heads'] = frame_heads(heads_after(agent.store, 0))
+    return frame
+
+
+def _tell(
+    agent: Agent,
+    news: Sequence[Version],
+    refusals: Sequence[RefusedVersion],
+    now: float,
+) -> list[Effect]:
+    if not news and not refusals:
+        return []
+    agent.in_force_since.update((version.name, now) for version in news)
+    if agent.viewed_hosts is not agent.store.snapshot.hosts:
+        agent.viewed_hosts = agent.store.snapshot.hosts
+        agent.view = view_of(agent.identity, agent.store.snapshot)
+    frame = _own_frame(agent, now)
+    frame['heads'] = frame_heads(news)
+    frame['refusals'] = frame_refusals(refusals)
+    others = sorted({*agent.identity.seeds, *agent.learned})
+    others = [each for each in others if each != agent.identity.control]
+    return [
+        Exchange(address, frame)
+        for address in choose_push(agent.view, others, agent.rng)
+    ]
+
+
+def _count_outcomes(agent: Agent, outcomes: Sequence[Outcome]) -> None:
+    for outcome in outcomes:
+        agent.counters.add(f'version.{outcome}')
--- /dev/null
+++ b/marjoramlead/attempts.py
@@ -0,0 +1,209 @@
+"""Send a call to guards, attempt after attempt, until it is answered."""
+
+from typing import Final
+
+from twisted.internet.defer import Deferred
+from twisted.web.http_headers import Headers
+
+from marjoramlead import headers as names
+from marjoramlead.bodies import BodyStream, RequestBody
+from marjoramlead.calls import Call, after_refusal, next_target
+from marjoramlead.collecting import collect_body
+from marjoramlead.gateway import SECOND_MS, Gateway, Served, split_uri
+from marjoramlead.http_client import Outgoing, Response, drop_body, send_request
+from marjoramlead.http_server import StreamRequest
+from marjoramlead.picking import on_outcome
+from marjoramlead.problems import read_refusal
+from marjoramlead.relay import (
+    Relayed,
+    passed_headers,
+    relay_response,
+)
+from marjoramlead.retries import RetryBudget, on_first_attempt
+from marjoramlead.snapshot import Target
+from marjoramlead.verdict import Reason, Refusal, Verdict
+
+__all__ = ('start_attempts',)
+
+MAX_WHOLE_BODY_BYTES: Final = 65_536
+SPARE_S: Final = 0.2
+CUT: Final = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN)
+
+
+def start_attempts(
+    gateway: Gateway,
+    call: Call,
+    req: StreamRequest,
+) -> Served:
+    """Begin to send a call; fires with a refusal if it has no answer."""
+    return Deferred.fromCoroutine(_run(gateway, call, req))
+
+
+async def _run(
+    gateway: Gateway,
+    call: Call,
+    req: StreamRequest,
+) -> Refusal | None:
+    customer = call.contract.customer
+    budget = gateway.budgets.setdefault(customer, RetryBudget())
+    on_first_attempt(budget, call.contract.retry_share)
+    body = await _body_of(call, req)
+    if isinstance(body, Refusal):
+        return body
+    while True:  # noqa: WPS457  # ends with the attempts of the contract
+        target = next_target(call, gateway.place, gateway.reactor.seconds())
+        if isinstance(target, Refusal):
+            return target
+        refusal = await _attempt(gateway, call, req, body, target)
+        if refusal is None:
+            return None
+        if req.is_gone:
+            return refusal
+        now = gateway.reactor.seconds()
+        final = after_refusal(call, refusal, budget, now)
+        if final is not None or _is_spent(body):
+            return final or refusal
+        gateway.counters.add(f'retried.{refusal.reason}')
+
+
+async def _body_of(
+    call: Call,
+    req: StreamRequest,
+) -> RequestBody | Refusal | None:
+    body = req.body
+    if body is None or call.route.kind == 'upload':
+        return body
+    if not isinstance(body.length, int) or body.length > MAX_WHOLE_BODY_BYTES:
+        return body
+    req.send_continue()
+    return await collect_body(body)
+
+
+def _is_spent(body: RequestBody | None) -> bool:
+    return isinstance(body, BodyStream) and body.is_taken
+
+
+async def _attempt(
+    gateway: Gateway,
+    call: Call,
+    req: StreamRequest,
+    body: RequestBody | None,
+    target: Target,
+) -> Refusal | None:
+    state = gateway.place.states.of(target.host)
+    state.in_flight += 1
+    try:
+        refusal = await _send_whole(gateway, call, req, body, target)
+    finally:
+        state.in_flight -= 1
+    now = gateway.reactor.seconds()
+    unreachable = refusal is not None and refusal.reason in {
+        Reason.CONNECT_FAILED,
+        Reason.SILENT,
+        Reason.DRAINING,
+    }
+    on_outcome(state, now, reachable=not unreachable)
+    if refusal is not None and refusal.reason is Reason.OVERLOAD:
+        state.refused_until = now + SPARE_S
+    return refusal
+
+
+async def _send_whole(
+    gateway: Gateway,
+    call: Call,
+    req: StreamRequest,
+    body: RequestBody | None,
+    target: Target,
+) -> Refusal | None:
+    if isinstance(body, BodyStream):
+        refusal = await _reserve(gateway, call, target)
+        if refusal is not None:
+            return refusal
+        req.send_continue()
+    fields = _guard_headers(gateway, call, req)
+    method = req.method
+    outgoing = _outgoing(call, target, method, req.uri, fields, body)
+    sent = await send_request(gateway.agent, gateway.reactor, outgoing)
+    if sent.is_error():
+        return sent.error
+    return await _take_answer(gateway, call, req, sent.ok)
+
+
+async def _take_answer(
+    gateway: Gateway,
+    call: Call,
+    req: StreamRequest,
+    response: Response,
+) -> Refusal | None:
+    refusal = read_refusal(response.headers)
+    if refusal is not None:
+        drop_body(response)
+        return refusal
+    echoed = response.headers.getRawHeaders(names.REQUEST_ID)
+    if echoed != [call.request_id.encode('latin-1')]:
+        gateway.counters.add('answer_of_other_request')
+        drop_body(response)
+        return CUT
+    relayed = await relay_response(
+        response,
+        req,
+        gateway.reactor,
+        call.deadline,
+    )
+    return CUT if relayed is Relayed.CUT_UNSEEN else None
+
+
+async def _reserve(
+    gateway: Gateway,
+    call: Call,
+    target: Target,
+) -> Refusal | None:
+    fields = _own_headers(gateway, call)
+    fields.setRawHeaders(names.RESERVE, [b'1'])
+    uri = f'/{call.contract.customer}/'.encode()
+    outgoing = _outgoing(call, target, b'GET', uri, fields, None)
+    sent = await send_request(gateway.agent, gateway.reactor, outgoing)
+    if sent.is_error():
+        return sent.error._replace(verdict=Verdict.NOT_RUN)
+    refusal = read_refusal(sent.ok.headers)
+    drop_body(sent.ok)
+    return refusal
+
+
+def _guard_headers(
+    gateway: Gateway,
+    call: Call,
+    req: StreamRequest,
+) -> Headers:
+    fields = passed_headers(req.requestHeaders)
+    for name, raw in _own_headers(gateway, call).getAllRawHeaders():
+        fields.setRawHeaders(name, raw)
+    return fields
+
+
+def _own_headers(gateway: Gateway, call: Call) -> Headers:
+    left = call.deadline - gateway.reactor.seconds()
+    wait_ms = max(0, int(left * SECOND_MS))
+    return Headers(
+        {
+            names.CUSTOMER: [call.contract.customer.encode()],
+            names.SERVICE: [call.route.service.encode()],
+            names.REQUEST_ID: [call.request_id.encode('latin-1')],
+            names.KIND: [call.route.kind.encode()],
+            names.WAIT_MS: [str(wait_ms).encode()],
+        }
+    )
+
+
+def _outgoing(
+    call: Call,
+    target: Target,
+    method: bytes,
+    uri: bytes,
+    fields: Headers,
+    body: RequestBody | None,
+) -> Outgoing:
+    _customer, path = split_uri(uri)
+    base = f'http://{target.address}:{target.guard_port}'
+    url = (base + path).encode('latin-1')
+    return Outgoing(method, url, fields, body, call.deadline)
--- /dev/null
+++ b/marjoramlead/calls.py
@@ -0,0 +1,137 @@
+"""Decide what becomes of a call: where it goes, and whether again."""
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import Final, NamedTuple
+
+from marjoramlead.picking import (
+    TargetStates,
+    owner_of,
+    pick,
+    preferred,
+    usable_targets,
+)
+from marjoramlead.retries import RetryBudget, may_retry, take_retry
+from marjoramlead.snapshot import (
+    Contract,
+    Route,
+    Snapshot,
+    Target,
+    find_route,
+)
+from marjoramlead.verdict import Reason, Refusal, Verdict
+
+__all__ = ('Call', 'Place', 'after_refusal', 'match_call', 'next_target')
+
+OWNED: Final = frozenset(('at_most_once', 'upload'))
+
+
+class Place(NamedTuple):
+    """Where calls are decided: a gateway's view of the fleet."""
+
+    data_centre: str
+    states: TargetStates
+    rng: Random
+
+
+class Match(NamedTuple):
+    """The contract and route that cover a call."""
+
+    contract: Contract
+    route: Route
+
+
+@dataclass(slots=True)
+class Call:
+    """One call of a caller, from its arrival to its final answer.
+
+    Attributes
+    ----------
+    snapshot
+        That was in force when the call arrived; it keeps it to its end.
+    deadline
+        On the node's monotonic clock.
+    key
+        The caller's idempotency key, if it sent one.
+    tried
+        Hosts that had an attempt.
+    has_doubt
+        Whether an attempt may have run.
+    """
+
+    snapshot: Snapshot
+    contract: Contract
+    route: Route
+    request_id: str
+    deadline: float
+    key: str | None = None
+    tried: list[str] = field(default_factory=list)
+    has_doubt: bool = False
+
+
+def match_call(
+    snapshot: Snapshot,
+    customer: str,
+    method: str,
+    path: str,
+) -> Match | Refusal:
+    """Find the contract and route of a call."""
+    contract = snapshot.contracts.get(customer)
+    if contract is None:
+        return Refusal(Reason.NO_CONTRACT, Verdict.NOT_RUN, 0)
+    route = find_route(contract, method, path)
+    if route is None:
+        return Refusal(Reason.NO_ROUTE, Verdict.NOT_RUN, 0)
+    return Match(contract, route)
+
+
+def next_target(call: Call, place: Place, now: float) -> Target | Refusal:
+    """Choose where the next attempt goes."""
+    if now >= call.deadline:
+        return _final(call, Refusal(Reason.DEADLINE, Verdict.NOT_RUN))
+    target = _choose(call, place, now)
+    if target is None:
+        return _final(call, Refusal(Reason.NO_TARGET, Verdict.NOT_RUN))
+    call.tried.append(target.host)
+    return target
+
+
+def after_refusal(
+    call: Call,
+    refusal: Refusal,
+    budget: RetryBudget,
+    now: float,
+) -> Refusal | None:
+    """Decide what follows an attempt that gave no answer.
+
+    Returns
+    -------
+    None if another attempt is to be made, else the final answer.
+    """
+    if refusal.verdict is not Verdict.NOT_RUN:
+        call.has_doubt = True
+    if not may_retry(call.route, refusal.verdict, len(call.tried)):
+        return _final(call, refusal)
+    if call.key is not None and call.route.kind in OWNED:
+        return _final(call, refusal)
+    if now >= call.deadline or not take_retry(budget):
+        return _final(call, refusal)
+    return None
+
+
+def _choose(call: Call, place: Place, now: float) -> Target | None:
+    candidates = usable_targets(
+        call.snapshot,
+        call.contract.customer,
+        call.route.service,
+    )
+    if call.key is not None and call.route.kind in OWNED:
+        return owner_of(candidates, call.key)
+    untried = preferred(candidates, place.data_centre, call.tried)
+    return pick(untried, place.states, place.rng, now)
+
+
+def _final(call: Call, refusal: Refusal) -> Refusal:
+    if call.has_doubt and refusal.verdict is Verdict.NOT_RUN:
+        return refusal._replace(verdict=Verdict.MAY_HAVE_RUN)
+    return refusal
--- /dev/null
+++ b/marjoramlead/cli.py
@@ -0,0 +1,224 @@
+"""The command ``marjoramlead``: what operators type."""
+
+import json
+import sys
+import time
+from collections.abc import Callable
+from functools import wraps
+from importlib.metadata import version
+from pathlib import Path
+from typing import Final
+
+from cyclopts import App
+
+from marjoramlead.errors import (
+    DocumentError,
+    MarjoramleadError,
+    NodeError,
+    PublishError,
+)
+from marjoramlead.node_client import fetch_status
+from marjoramlead.porcelain import (
+    Progress,
+    check_contract,
+    set_out,
+    submit,
+    wait_in_force,
+)
+from marjoramlead.rendering import progress_line, status_lines
+
+__all__ = ('app', 'main')
+
+EXIT_REFUSED: Final = 1
+EXIT_NOT_IN_FORCE: Final = 3
+EXIT_NO_ANSWER: Final = 4
+DEFAULT_NODE: Final = '127.0.0.1:8083'
+DEFAULT_PUBLISHER: Final = 'http://127.0.0.1:7000'
+WAIT_S: Final = 30.0
+
+app = App(
+    name='marjoramlead',
+    help=(
+        'Submit contracts, take data centres out, bring them back, and read '
+        'back what is in force.\n\n'
+        'Exit codes: 0 done; 1 refused, nothing was changed; '
+        '3 published, but not in force everywhere in time; '
+        '4 no answer from the node or the publisher.'
+    ),
+    version=lambda: version('marjoramlead'),
+)
+
+
+def _reporting(command: Callable[..., int]) -> Callable[..., int]:
+    @wraps(command)
+    def run(*positional: object, **named: object) -> int:
+        try:
+            return command(*positional, **named)
+        except MarjoramleadError as exc:
+            sys.stderr.write(f'marjoramlead: {exc}\n')
+            return EXIT_REFUSED if _is_refusal(exc) else EXIT_NO_ANSWER
+
+    return run
+
+
+def _is_refusal(exc: MarjoramleadError) -> bool:
+    if isinstance(exc, PublishError):
+        return 'overtaken' in str(exc)
+    return isinstance(exc, DocumentError) and not isinstance(exc, NodeError)
+
+
+@app.command
+@_reporting
+def check(contract: Path) -> int:
+    """Check a contract without publishing it.
+
+    Parameters
+    ----------
+    contract
+        Contract file, JSON with comments.
+    """
+    checked = check_contract(contract)
+    sys.stdout.write(f'{contract}: {checked.name} is sound\n')
+    return 0
+
+
+@app.command(name='submit')
+@_reporting
+def submit_contract(
+    contract: Path,
+    *,
+    publisher: str = DEFAULT_PUBLISHER,
+    node: list[str] | None = None,
+    wait: bool = False,
+    limit: float = WAIT_S,
+) -> int:
+    """Check a contract and publish it.
+
+    Parameters
+    ----------
+    contract
+        Contract file, JSON with comments.
+    publisher
+        Base address of the place that operators publish to.
+    node
+        Admin ports of the nodes to follow with ``--wait``.
+    wait
+        Follow it until it is in force on those nodes.
+    limit
+        Seconds to follow it for.
+    """
+    checked = check_contract(contract)
+    revision = submit(publisher, checked)
+    sys.stdout.write(f'{checked.name} published at revision {revision}\n')
+    if not wait:
+        return 0
+    return _follow(node, checked.name, revision, limit)
+
+
+@app.command(name='take-out')
+@_reporting
+def take_out(
+    data_centre: str,
+    *,
+    publisher: str = DEFAULT_PUBLISHER,
+    node: list[str] | None = None,
+    wait: bool = False,
+    limit: float = WAIT_S,
+) -> int:
+    """Take a data centre out: it gets no new work.
+
+    Parameters
+    ----------
+    data_centre
+        Its name.
+    publisher
+        Base address of the place that operators publish to.
+    node
+        Admin ports of the nodes to follow with ``--wait``.
+    wait
+        Follow the change until it is in force on those nodes.
+    limit
+        Seconds to follow it for.
+    """
+    revision = set_out(publisher, data_centre, out=True)
+    sys.stdout.write(f'{data_centre} is out at revision {revision}\n')
+    return _follow(node, 'operations', revision, limit) if wait else 0
+
+
+@app.command(name='bring-back')
+@_reporting
+def bring_back(
+    data_centre: str,
+    *,
+    publisher: str = DEFAULT_PUBLISHER,
+    node: list[str] | None = None,
+    wait: bool = False,
+    limit: float = WAIT_S,
+) -> int:
+    """Bring a data centre back: its targets get work again, slowly at first.
+
+    Parameters
+    ----------
+    data_centre
+        Its name.
+    publisher
+        Base address of the place that operators publish to.
+    node
+        Admin ports of the nodes to follow with ``--wait``.
+    wait
+        Follow the change until it is in force on those nodes.
+    limit
+        Seconds to follow it for.
+    """
+    revision = set_out(publisher, data_centre, out=False)
+    sys.stdout.write(f'{data_centre} is back at revision {revision}\n')
+    return _follow(node, 'operations', revision, limit) if wait else 0
+
+
+@app.command
+@_reporting
+def status(*, node: str = DEFAULT_NODE, as_json: bool = False) -> int:
+    """Show what is in force on a node, what it refused, and its targets.
+
+    Parameters
+    ----------
+    node
+        Address and port of its admin port.
+    as_json
+        Print it for scripts.
+    """
+    found = fetch_status(node)
+    if as_json:
+        sys.stdout.write(f'{json.dumps(found, indent=2)}\n')
+        return 0
+    for line in status_lines(found):
+        sys.stdout.write(f'{line}\n')
+    return 0
+
+
+def _follow(
+    nodes: list[str] | None,
+    name: str,
+    revision: int,
+    limit: float,
+) -> int:
+    asked = nodes or [DEFAULT_NODE]
+    deadline = time.monotonic() + limit
+    last: Progress | None = None
+    for progress in wait_in_force(asked, name, revision, deadline):
+        if progress != last:
+            line = progress_line(progress, len(asked))
+            sys.stdout.write(f'{line}\n')
+        last = progress
+    if last is None or last.refused or last.behind:
+        return EXIT_NOT_IN_FORCE
+    return 0
+
+
+def main() -> None:
+    """Enter from the command line."""
+    sys.exit(app())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/marjoramlead/documents.py
@@ -0,0 +1,127 @@
+"""Check the text of a document: a pure function of its bytes.
+
+A document is named ``contracts/CUSTOMER``, ``hosts/DATA-CENTRE`` or
+``operations``. The check decides by the text and the name alone, so that
+all nodes accept or refuse the same documents, whatever path these took.
+"""
+
+from collections.abc import Callable, Mapping
+from hashlib import blake2b
+from typing import Final
+
+import jsonc
+from expression import Error, Ok, Result
+from fastjsonschema import JsonSchemaValueException
+
+from marjoramlead.errors import Fault
+from marjoramlead.generated import (
+    contract_validator,
+    hosts_validator,
+    operations_validator,
+)
+from marjoramlead.terms import contract_faults, hosts_faults
+
+__all__ = (
+    'CONTRACTS',
+    'HOSTS',
+    'OPERATIONS',
+    'check_document',
+    'digest_of',
+    'parse_object',
+    'schema_fault',
+)
+
+Validator = Callable[[object], object]
+CONTRACTS: Final = 'contracts/'
+HOSTS: Final = 'hosts/'
+OPERATIONS: Final = 'operations'
+MAX_DOCUMENT_BYTES: Final = 1_000_000
+DIGEST_BYTES: Final = 16
+
+
+def digest_of(text: str) -> str:
+    """Digest of a document's text, in hexadecimal."""
+    return blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
+
+def parse_object(text: str) -> Result[dict[str, object], Fault]:
+    """Read JSON with comments whose outermost value is an object."""
+    try:
+        parsed = jsonc.loads(text)
+    except (ValueError, RecursionError) as exc:
+        return Error(Fault('', f'is not JSON: {exc}'))
+    if not isinstance(parsed, dict):
+        return Error(Fault('', 'must be a JSON object'))
+    return Ok(parsed)
+
+
+def schema_fault(
+    validate: Validator,
+    parsed: Mapping[str, object],
+) -> Fault | None:
+    """First disagreement of a parsed document with its schema."""
+    try:
+        validate(parsed)
+    except JsonSchemaValueException as exc:
+        path = str(exc.name or '').removeprefix('data').removeprefix('.')
+        reason = str(exc).removeprefix(str(exc.name)).strip()
+        return Fault(path, reason)
+    return None
+
+
+def check_document(name: str, text: str) -> Result[dict[str, object], Fault]:
+    """Accept a document whole, or say why not.
+
+    Parameters
+    ----------
+    name
+        The document's name at the source.
+    text
+        JSON with comments.
+
+    Returns
+    -------
+    The parsed document, or the first fault found.
+    """
+    if len(text.encode()) > MAX_DOCUMENT_BYTES:
+        return Error(Fault('', f'is larger than {MAX_DOCUMENT_BYTES} bytes'))
+    return parse_object(text).bind(
+        lambda parsed: _check_parsed(name, parsed),
+    )
+
+
+def _check_parsed(
+    name: str,
+    parsed: dict[str, object],
+) -> Result[dict[str, object], Fault]:
+    fault = _first_fault(name, parsed)
+    return Ok(parsed) if fault is None else Error(fault)
+
+
+def _first_fault(name: str, parsed: dict[str, object]) -> Fault | None:
+    if name.startswith(CONTRACTS):
+        return (
+            schema_fault(contract_validator.validate, parsed)
+            or contract_faults(parsed)
+            or _name_fault(name, CONTRACTS, parsed, 'customer')
+        )
+    if name.startswith(HOSTS):
+        return (
+            schema_fault(hosts_validator.validate, parsed)
+            or hosts_faults(parsed)
+            or _name_fault(name, HOSTS, parsed, 'data_centre')
+        )
+    if name == OPERATIONS:
+        return schema_fault(operations_validator.validate, parsed)
+    return Fault('', f'no kind of document is named {name}')
+
+
+def _name_fault(
+    name: str,
+    prefix: str,
+    parsed: dict[str, object],
+    field: str,
+) -> Fault | None:
+    if name == f'{prefix}{parsed[field]}':
+        return None
+    return Fault(field, f'must be {name.removeprefix(prefix)}, as its name')
--- /dev/null
+++ b/marjoramlead/gateway.py
@@ -0,0 +1,175 @@
+"""Take calls from callers, find their contract, and see to an answer."""
+
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+from twisted.web.client import Agent
+
+from marjoramlead import headers as names
+from marjoramlead.calls import Call, Place, match_call
+from marjoramlead.clock import Clock
+from marjoramlead.counters import Counters
+from marjoramlead.http_server import StreamRequest
+from marjoramlead.logs import gateway_log
+from marjoramlead.problems import refusal_answer
+from marjoramlead.retries import RetryBudget
+from marjoramlead.snapshot import Snapshot
+from marjoramlead.verdict import Reason, Refusal, Verdict
+
+__all__ = ('Attempts', 'Gateway', 'handle_call')
+
+SECOND_MS: Final = 1000
+MAX_WAIT_S: Final = 86_400.0
+MAX_ID_LENGTH: Final = 128
+
+
+@dataclass(slots=True)
+class Gateway:
+    """State of the gateway of one node.
+
+    Attributes
+    ----------
+    snapshot_of
+        Gives what is in force now.
+    in_flight
+        Calls that have no final answer yet.
+    budgets
+        Retries left, by customer.
+    """
+
+    place: Place
+    snapshot_of: Callable[[], Snapshot]
+    agent: Agent
+    reactor: Clock
+    counters: Counters
+    in_flight: int = 0
+    is_draining: bool = False
+    budgets: dict[str, RetryBudget] = field(default_factory=dict)
+
+
+Served = Deferred[Refusal | None]
+Attempts = Callable[[Gateway, Call, StreamRequest], Served]
+
+
+def handle_call(
+    gateway: Gateway,
+    attempts: Attempts,
+    req: StreamRequest,
+) -> None:
+    """Serve one call to its final answer; never raises.
+
+    Parameters
+    ----------
+    gateway
+        State of this node's gateway.
+    attempts
+        Sends the call; fires with a refusal where there is no answer.
+    req
+        The caller's request.
+    """
+    request_id = _text_header(req, names.REQUEST_ID) or uuid.uuid4().hex
+    call = _match(gateway, req, request_id)
+    if isinstance(call, Refusal):
+        _refuse(gateway, req, call, request_id)
+        return
+    gateway.in_flight += 1
+    gateway.counters.add('calls')
+    served = attempts(gateway, call, req)
+    req.notifyFinish().addErrback(_cancel(served))
+    served.addCallbacks(
+        lambda refusal: _end(gateway, req, refusal, request_id),
+        lambda failure: _on_failure(gateway, req, failure, request_id),
+    )
+
+
+def _match(
+    gateway: Gateway,
+    req: StreamRequest,
+    request_id: str,
+) -> Call | Refusal:
+    if gateway.is_draining:
+        return Refusal(Reason.DRAINING, Verdict.NOT_RUN)
+    customer, path = split_uri(req.uri)
+    snapshot = gateway.snapshot_of()
+    bare_path = path.split('?', 1)[0]
+    method = req.method.decode('latin-1')
+    match = match_call(snapshot, customer, method, bare_path)
+    if isinstance(match, Refusal):
+        return match
+    wait = min(match.route.wait_limit, _wait_of(req))
+    return Call(
+        snapshot=snapshot,
+        contract=match.contract,
+        route=match.route,
+        request_id=request_id,
+        deadline=gateway.reactor.seconds() + wait,
+        key=_text_header(req, names.IDEMPOTENCY_KEY),
+    )
+
+
+def split_uri(uri: bytes) -> tuple[str, str]:
+    """Split ``/customer/path?query`` into the customer and the rest."""
+    customer, _slash, rest = uri.decode('latin-1')[1:].partition('/')
+    return customer, f'/{rest}'
+
+
+def _cancel(served: Served) -> Callable[[Failure], None]:
+    def on_gone(_failure: Failure) -> None:
+        served.cancel()
+
+    return on_gone
+
+
+def _end(
+    gateway: Gateway,
+    req: StreamRequest,
+    refusal: Refusal | None,
+    request_id: str,
+) -> None:
+    gateway.in_flight -= 1
+    if refusal is None:
+        gateway.counters.add('answered')
+    else:
+        _refuse(gateway, req, refusal, request_id)
+
+
+def _on_failure(
+    gateway: Gateway,
+    req: StreamRequest,
+    failure: Failure,
+    request_id: str,
+) -> None:
+    gateway.in_flight -= 1
+    if failure.check(CancelledError):
+        gateway.counters.add('caller_gone')
+        return
+    gateway_log.error('Call failed inside: %s', failure.getTraceback())
+    refusal = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN)
+    _refuse(gateway, req, refusal, request_id)
+
+
+def _refuse(
+    gateway: Gateway,
+    req: StreamRequest,
+    refusal: Refusal,
+    request_id: str,
+) -> None:
+    gateway.counters.add(f'refused.{refusal.reason}')
+    gateway_log.debug('Refused %s: %s', request_id, refusal.reason)
+    req.answer(refusal_answer(refusal, request_id))
+
+
+def _text_header(req: StreamRequest, name: bytes) -> str | None:
+    raw = req.requestHeaders.getRawHeaders(name)
+    return raw[0].decode('latin-1')[:MAX_ID_LENGTH] if raw else None
+
+
+def _wait_of(req: StreamRequest) -> float:
+    raw = _text_header(req, names.WAIT_MS)
+    if raw is None or not raw.isdecimal():
+        return MAX_WAIT_S
+    return int(raw) / SECOND_MS
--- /dev/null
+++ b/marjoramlead/guard.py
@@ -0,0 +1,181 @@
+"""Stand between the fleet and the local target: the only way to it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Final
+
+from twisted.internet.defer import Deferred
+from twisted.web.client import Agent
+
+from marjoramlead.admission import (
+    Admission,
+    Entry,
+    admit,
+    expire,
+    finish,
+    start_drain,
+)
+from marjoramlead.clock import Clock
+from marjoramlead.counters import Counters
+from marjoramlead.generated.contract_types import ServiceTerms
+from marjoramlead.generated.settings_types import TargetSettings
+from marjoramlead.ledger import Ledger
+from marjoramlead.snapshot import Kind, Snapshot
+from marjoramlead.verdict import Reason, Refusal, Verdict
+
+__all__ = (
+    'Guard',
+    'claim',
+    'drain_guard',
+    'enter',
+    'leave',
+    'place_refusal',
+    'reserve',
+)
+
+RESERVED_S: Final = 5.0
+NO_TERMS: Final[ServiceTerms] = {  # noqa: WPS407  # nothing changes it
+    'service': '',
+    'slots': 0,
+    'cold_slots': 0,
+    'warm_answers': 1,
+    'connections': 0,
+    'queue': 0,
+    'upload_slots': 0,
+    'internal_slots': 0,
+    'drain_limit_ms': 30_000,
+}
+
+
+@dataclass(slots=True)
+class Guard:
+    """State of the guard of one node.
+
+    Attributes
+    ----------
+    admission
+        Grants nothing until a contract for the local target is in force.
+    reserved
+        Slots held for uploads that were admitted but have not arrived yet,
+        by request id.
+    starters
+        What to fire when a waiting request may run, by its number.
+    """
+
+    data_centre: str
+    target: TargetSettings
+    snapshot_of: Callable[[], Snapshot]
+    agent: Agent
+    reactor: Clock
+    counters: Counters
+    ledger: Ledger = field(default_factory=Ledger)
+    admission: Admission = field(
+        default_factory=lambda: Admission(NO_TERMS),
+    )
+    numbers: count = field(default_factory=count)
+    reserved: dict[str, int] = field(default_factory=dict)
+    starters: dict[int, Deferred[Refusal | None]] = field(
+        default_factory=dict,
+    )
+
+
+def place_refusal(
+    guard: Guard,
+    customer: str,
+    service: str,
+) -> Refusal | None:
+    """Refuse work that does not belong at this target now."""
+    own = guard.target
+    if (customer, service) != (own['customer'], own['service']):
+        return Refusal(Reason.WRONG_TARGET, Verdict.NOT_RUN)
+    snapshot = guard.snapshot_of()
+    if guard.data_centre in snapshot.out:
+        return Refusal(Reason.DATA_CENTRE_OUT, Verdict.NOT_RUN)
+    terms = _terms_of(snapshot, own)
+    if terms is None:
+        return Refusal(Reason.NO_CONTRACT, Verdict.NOT_RUN)
+    guard.admission.terms = terms
+    return None
+
+
+async def enter(
+    guard: Guard,
+    kind: Kind,
+    deadline: float,
+) -> int | Refusal:
+    """Get a slot for a request, after a wait if need be.
+
+    Returns
+    -------
+    The number of the request, to be given to ``leave``; or why not.
+    """
+    entry = Entry(next(guard.numbers), kind, deadline)
+    now = guard.reactor.seconds()
+    refusal = admit(guard.admission, entry, now)
+    if refusal is not None:
+        return refusal
+    if entry.number in guard.admission.running:
+        return entry.number
+    return await _wait_for_slot(guard, entry)
+
+
+def claim(guard: Guard, request_id: str) -> int | None:
+    """Take over the slot that was reserved for an upload."""
+    return guard.reserved.pop(request_id, None)
+
+
+def reserve(guard: Guard, request_id: str, number: int) -> None:
+    """Hold a slot for an upload that will arrive soon."""
+    guard.reserved[request_id] = number
+    guard.reactor.callLater(RESERVED_S, _lapse, guard, request_id, number)
+
+
+def leave(guard: Guard, number: int, *, answered: bool) -> None:
+    """Give a slot back and start those that waited for it."""
+    now = guard.reactor.seconds()
+    for entry in finish(guard.admission, number, now, answered=answered):
+        guard.starters.pop(entry.number).callback(None)
+
+
+def drain_guard(guard: Guard) -> None:
+    """Refuse new work from now on; what runs goes on to its end."""
+    for entry in start_drain(guard.admission):
+        refusal = Refusal(Reason.DRAINING, Verdict.NOT_RUN)
+        guard.starters.pop(entry.number).callback(refusal)
+
+
+def _terms_of(
+    snapshot: Snapshot,
+    own: TargetSettings,
+) -> ServiceTerms | None:
+    contract = snapshot.contracts.get(own['customer'])
+    return contract.services.get(own['service']) if contract else None
+
+
+async def _wait_for_slot(guard: Guard, entry: Entry) -> int | Refusal:
+    started: Deferred[Refusal | None] = Deferred()
+    guard.starters[entry.number] = started
+    left = entry.deadline - guard.reactor.seconds()
+    timer = guard.reactor.callLater(left, _on_wait_over, guard, entry.number)
+    try:
+        refusal = await started
+    finally:
+        if timer.active():
+            timer.cancel()
+        if guard.starters.pop(entry.number, None) is not None:
+            expire(guard.admission, entry.number)
+    return entry.number if refusal is None else refusal
+
+
+def _on_wait_over(guard: Guard, number: int) -> None:
+    started = guard.starters.pop(number, None)
+    if started is not None:
+        expire(guard.admission, number)
+        started.callback(Refusal(Reason.DEADLINE, Verdict.NOT_RUN))
+
+
+def _lapse(guard: Guard, request_id: str, number: int) -> None:
+    if guard.reserved.get(request_id) == number:
+        guard.reserved.pop(request_id)
+        leave(guard, number, answered=False)
--- /dev/null
+++ b/marjoramlead/guarding.py
@@ -0,0 +1,237 @@
+"""Serve one request at the guard: admit, send to the target, answer."""
+
+from typing import Final, NamedTuple, cast
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+from twisted.web.http_headers import Headers
+
+from marjoramlead import headers as names
+from marjoramlead.admission import restart_cold
+from marjoramlead.guard import (
+    Guard,
+    claim,
+    enter,
+    leave,
+    place_refusal,
+    reserve,
+)
+from marjoramlead.http_client import Outgoing, drop_body, send_request
+from marjoramlead.http_server import StreamRequest
+from marjoramlead.ledger import Fate, begin_once, end_once
+from marjoramlead.logs import guard_log
+from marjoramlead.problems import Answer, read_refusal, refusal_answer
+from marjoramlead.relay import (
+    Relayed,
+    passed_headers,
+    relay_response,
+)
+from marjoramlead.snapshot import Kind
+from marjoramlead.verdict import Reason, Refusal, Verdict
+
+__all__ = ('handle_work',)
+
+SECOND_MS: Final = 1000
+KINDS: Final = frozenset(('idempotent', 'at_most_once', 'upload', 'internal'))
+CUT: Final = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN)
+COLD_SIGNS: Final = frozenset((Reason.CONNECT_FAILED, Reason.TARGET_FAILED))
+
+
+class Work(NamedTuple):
+    """What the gateway says of a request.
+
+    Attributes
+    ----------
+    once_id
+        The idempotency key or request id under which it runs at most once.
+    deadline
+        On this node's monotonic clock.
+    """
+
+    customer: str
+    service: str
+    request_id: str
+    once_id: str
+    kind: Kind
+    deadline: float
+
+
+def handle_work(guard: Guard, req: StreamRequest) -> None:
+    """Serve one request to its end; never raises."""
+    work = _read_work(guard, req)
+    if work is None:
+        refusal = Refusal(Reason.WRONG_TARGET, Verdict.NOT_RUN, 0)
+        _refuse(guard, req, refusal, '')
+        return
+    served = Deferred.fromCoroutine(_serve(guard, req, work))
+    req.notifyFinish().addErrback(lambda _gone: served.cancel())
+    served.addCallbacks(
+        lambda refusal: _end(guard, req, refusal, work),
+        lambda failure: _on_failure(guard, req, failure, work),
+    )
+
+
+def _read_work(guard: Guard, req: StreamRequest) -> Work | None:
+    fields = req.requestHeaders
+    request_id = _first(fields, names.REQUEST_ID)
+    kind = _first(fields, names.KIND)
+    wait_ms = _first(fields, names.WAIT_MS)
+    if not request_id or kind not in KINDS or not wait_ms.isdecimal():
+        return None
+    return Work(
+        customer=_first(fields, names.CUSTOMER),
+        service=_first(fields, names.SERVICE),
+        request_id=request_id,
+        once_id=_first(fields, names.IDEMPOTENCY_KEY) or request_id,
+        kind=cast(Kind, kind),
+        deadline=guard.reactor.seconds() + int(wait_ms) / SECOND_MS,
+    )
+
+
+async def _serve(
+    guard: Guard,
+    req: StreamRequest,
+    work: Work,
+) -> Refusal | None:
+    refusal = place_refusal(guard, work.customer, work.service)
+    if refusal is not None:
+        return refusal
+    claimed = claim(guard, work.request_id)
+    if claimed is None:
+        number = await enter(guard, work.kind, work.deadline)
+    else:
+        number = claimed
+    if isinstance(number, Refusal):
+        return number
+    if req.requestHeaders.hasHeader(names.RESERVE):
+        reserve(guard, work.request_id, number)
+        fields = Headers({names.REQUEST_ID: [work.request_id.encode()]})
+        req.answer(Answer(204, fields, b''))
+        return None
+    answered = False
+    try:
+        refusal = await _run_once(guard, req, work)
+        answered = refusal is None
+    finally:
+        leave(guard, number, answered=answered)
+    return refusal
+
+
+async def _run_once(
+    guard: Guard,
+    req: StreamRequest,
+    work: Work,
+) -> Refusal | None:
+    now = guard.reactor.seconds()
+    if now >= work.deadline:
+        return Refusal(Reason.DEADLINE, Verdict.NOT_RUN)
+    if work.kind in {'idempotent', 'internal'}:
+        return await _send(guard, req, work)
+    fate = begin_once(guard.ledger, work.once_id, now)
+    if fate is Fate.BARRED:
+        return Refusal(Reason.BARRED, Verdict.NOT_RUN)
+    if fate is not None:
+        return Refusal(Reason.DUPLICATE, Verdict.MAY_HAVE_RUN, 0)
+    refusal: Refusal | None = CUT
+    try:
+        refusal = await _send(guard, req, work)
+    finally:
+        _note_end(guard, work, refusal)
+    return refusal
+
+
+def _note_end(guard: Guard, work: Work, refusal: Refusal | None) -> None:
+    has_run = refusal is None or refusal.verdict is not Verdict.NOT_RUN
+    now = guard.reactor.seconds()
+    end_once(guard.ledger, work.once_id, now, has_run=has_run)
+
+
+async def _send(
+    guard: Guard,
+    req: StreamRequest,
+    work: Work,
+) -> Refusal | None:
+    req.send_continue()
+    sent = await send_request(
+        guard.agent,
+        guard.reactor,
+        _outgoing(guard, req, work),
+    )
+    if sent.is_error():
+        _note_cold(guard, sent.error)
+        return sent.error
+    response = sent.ok
+    refusal = read_refusal(response.headers)
+    if refusal is not None:
+        drop_body(response)
+        return refusal
+    fields = response.headers
+    fields.setRawHeaders(names.VERDICT, [Verdict.RAN.encode()])
+    fields.setRawHeaders(names.REQUEST_ID, [work.request_id.encode('latin-1')])
+    relayed = await relay_response(
+        response,
+        req,
+        guard.reactor,
+        work.deadline,
+    )
+    if relayed is Relayed.WHOLE:
+        return None
+    _note_cold(guard, CUT)
+    return CUT
+
+
+def _outgoing(guard: Guard, req: StreamRequest, work: Work) -> Outgoing:
+    fields = passed_headers(req.requestHeaders)
+    left = max(0, work.deadline - guard.reactor.seconds())
+    wait_ms = str(int(left * SECOND_MS)).encode()
+    fields.setRawHeaders(names.WAIT_MS, [wait_ms])
+    own = guard.target
+    base = f'http://{own["address"]}:{own["port"]}'.encode()
+    url = base + req.uri
+    return Outgoing(req.method, url, fields, req.body, work.deadline)
+
+
+def _note_cold(guard: Guard, refusal: Refusal) -> None:
+    if refusal.reason in COLD_SIGNS:
+        guard.counters.add('target.cold')
+        restart_cold(guard.admission)
+
+
+def _end(
+    guard: Guard,
+    req: StreamRequest,
+    refusal: Refusal | None,
+    work: Work,
+) -> None:
+    if refusal is None:
+        guard.counters.add('guard.answered')
+    else:
+        _refuse(guard, req, refusal, work.request_id)
+
+
+def _on_failure(
+    guard: Guard,
+    req: StreamRequest,
+    failure: Failure,
+    work: Work,
+) -> None:
+    if failure.check(CancelledError):
+        guard.counters.add('guard.cancelled')
+        return
+    guard_log.error('Request failed inside: %s', failure.getTraceback())
+    _refuse(guard, req, CUT, work.request_id)
+
+
+def _refuse(
+    guard: Guard,
+    req: StreamRequest,
+    refusal: Refusal,
+    request_id: str,
+) -> None:
+    guard.counters.add(f'guard.refused.{refusal.reason}')
+    req.answer(refusal_answer(refusal, request_id))
+
+
+def _first(fields: Headers, name: bytes) -> str:
+    raw = fields.getRawHeaders(name)
+    return raw[0].decode('latin-1') if raw else ''
--- /dev/null
+++ b/marjoramlead/headers.py
@@ -0,0 +1,49 @@
+"""Names of the headers that nodes, callers and targets exchange.
+
+``REQUEST_ID``, ``WAIT_MS`` and ``KIND`` reach the target, which passes them
+on with its own calls. ``VERDICT`` and ``REASON`` come back on refusals.
+"""
+
+from typing import Final
+
+__all__ = (
+    'CUSTOMER',
+    'HOP_BY_HOP',
+    'IDEMPOTENCY_KEY',
+    'KIND',
+    'REASON',
+    'REQUEST_ID',
+    'RESERVE',
+    'RETRY_AFTER',
+    'REVISION',
+    'SERVICE',
+    'VERDICT',
+    'WAIT_MS',
+)
+
+CUSTOMER: Final = b'X-Marjoram-Customer'
+SERVICE: Final = b'X-Marjoram-Service'
+REQUEST_ID: Final = b'X-Marjoram-Request-Id'
+KIND: Final = b'X-Marjoram-Kind'
+WAIT_MS: Final = b'X-Marjoram-Wait-Ms'
+REVISION: Final = b'X-Marjoram-Revision'
+RESERVE: Final = b'X-Marjoram-Reserve'
+VERDICT: Final = b'X-Marjoram-Verdict'
+REASON: Final = b'X-Marjoram-Reason'
+IDEMPOTENCY_KEY: Final = b'Idempotency-Key'
+RETRY_AFTER: Final = b'Retry-After'
+HOP_BY_HOP: Final = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'expect',
+        b'host',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
--- /dev/null
+++ b/marjoramlead/http_client.py
@@ -0,0 +1,142 @@
+"""Send HTTP requests to nodes and targets, on ``twisted.web.client``."""
+
+from http import HTTPStatus
+from typing import Final, NamedTuple, Protocol, cast
+
+from expression import Error, Ok, Result
+from twisted.internet.error import (
+    ConnectError,
+    ConnectingCancelledError,
+    DNSLookupError,
+)
+from twisted.internet.protocol import Protocol as BodyProtocol
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IBodyProducer, IResponse
+
+from marjoramlead.bodies import RequestBody
+from marjoramlead.clock import Clock
+from marjoramlead.errors import Fault
+from marjoramlead.verdict import Reason, Refusal, Verdict
+
+__all__ = (
+    'Outgoing',
+    'Response',
+    'drop_body',
+    'fetch',
+    'make_agent',
+    'send_request',
+)
+
+CONNECT_LIMIT_S: Final = 1.0
+IDLE_LIMIT_S: Final = 30
+NOT_SENT: Final = (ConnectError, ConnectingCancelledError, DNSLookupError)
+
+
+class Response(Protocol):
+    """The head of an answer, whose body can be taken once."""
+
+    code: int
+    headers: Headers
+    length: object
+
+    def deliverBody(self, protocol: BodyProtocol) -> None:
+        """Give the body to a protocol as it arrives."""
+
+
+class Outgoing(NamedTuple):
+    """A request to send.
+
+    Attributes
+    ----------
+    deadline
+        When to give up waiting for the head of the answer, on the reactor's
+        clock.
+    """
+
+    method: bytes
+    url: bytes
+    headers: Headers
+    body: RequestBody | None
+    deadline: float
+
+
+def make_agent(reactor: Clock, connections: int) -> Agent:
+    """Build a client that keeps up to so many idle connections a peer.
+
+    The pool never sends a request again by itself: whether that is safe is
+    decided by the contract.
+    """
+    pool = HTTPConnectionPool(reactor, persistent=True)
+    pool.maxPersistentPerHost = connections
+    pool.cachedConnectionTimeout = IDLE_LIMIT_S
+    pool.retryAutomatically = False
+    return Agent(reactor, connectTimeout=CONNECT_LIMIT_S, pool=pool)
+
+
+async def send_request(
+    agent: Agent,
+    reactor: Clock,
+    outgoing: Outgoing,
+) -> Result[Response, Refusal]:
+    """Send a request and wait for the head of its answer.
+
+    Returns
+    -------
+    The response, or why there is none and whether the request may have run.
+    """
+    pending = agent.request(
+        outgoing.method,
+        outgoing.url,
+        outgoing.headers,
+        cast(IBodyProducer, outgoing.body),
+    )
+    left = max(0, outgoing.deadline - reactor.seconds())
+    timer = reactor.callLater(left, pending.cancel)
+    try:
+        return Ok(cast(Response, await pending))
+    except NOT_SENT:
+        return Error(Refusal(Reason.CONNECT_FAILED, Verdict.NOT_RUN))
+    except Exception:  # every other failure leaves doubt
+        return Error(_doubtful(is_late=not timer.active()))
+    finally:
+        if timer.active():
+            timer.cancel()
+
+
+async def fetch(
+    agent: Agent,
+    reactor: Clock,
+    url: str,
+    deadline: float,
+) -> Result[bytes, Fault]:
+    """Get a whole body by its address, or say why there is none."""
+    outgoing = Outgoing(b'GET', url.encode(), Headers(), None, deadline)
+    sent = await send_request(agent, reactor, outgoing)
+    if sent.is_error():
+        return Error(Fault('', f'no answer: {sent.error.reason}'))
+    if sent.ok.code != HTTPStatus.OK:
+        drop_body(sent.ok)
+        return Error(Fault('', f'answered with status {sent.ok.code}'))
+    pending = readBody(cast(IResponse, sent.ok))
+    timer = reactor.callLater(
+        max(0, deadline - reactor.seconds()),
+        pending.cancel,
+    )
+    try:
+        return Ok(await pending)
+    except Exception as exc:  # a cut answer counts as none
+        return Error(Fault('', f'answer was late or cut: {exc}'))
+    finally:
+        if timer.active():
+            timer.cancel()
+
+
+def drop_body(response: Response) -> None:
+    """Read a body to its end and forget it, so the connection can serve."""
+    response.deliverBody(BodyProtocol())
+
+
+def _doubtful(*, is_late: bool) -> Refusal:
+    reason = Reason.SILENT if is_late else Reason.TARGET_FAILED
+    return Refusal(reason, Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/marjoramlead/http_server.py
@@ -0,0 +1,196 @@
+"""HTTP towards callers and between nodes, on ``twisted.web``.
+
+A request is handed to its handler as soon as its headers are there, and its
+body follows as a stream. A handler may refuse before a byte of the body has
+been read: the answer goes out at once, and the rest of the body is read and
+dropped up to a bound, so that the caller gets to see the answer.
+"""
+
+from collections.abc import Callable
+from io import BytesIO
+from typing import Final, NamedTuple, Protocol, cast
+
+from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
+from twisted.web.http import HTTPChannel, HTTPFactory, Request
+
+from marjoramlead.bodies import BodyStream
+from marjoramlead.clock import Clock
+from marjoramlead.problems import Answer
+
+__all__ = ('Handler', 'StreamRequest', 'Transport', 'make_site')
+
+MAX_DROPPED_BYTES: Final = 1_000_000
+IDLE_LIMIT_S: Final = 75.0
+EXPECT: Final = b'Expect'
+
+
+class Transport(Protocol):
+    """The part of a transport that is used here."""
+
+    def write(self, chunk: bytes) -> None:
+        """Send bytes."""
+
+    def pauseProducing(self) -> None:
+        """Stop reading."""
+
+    def resumeProducing(self) -> None:
+        """Go on reading."""
+
+    def loseConnection(self) -> None:
+        """Close once all is sent."""
+
+
+class StreamRequest(Request):
+    """A request whose body arrives as a stream.
+
+    Attributes
+    ----------
+    body
+        None where the request has none.
+    is_gone
+        Whether the caller has hung up.
+    """
+
+    channel: '_StreamChannel'
+
+    def __init__(self, channel: '_StreamChannel', _queued: object) -> None:
+        super().__init__(channel)
+        self.body: BodyStream | None = None
+        self.is_gone = False
+        self._is_received = False
+        self._is_answered = False
+        self._dropped = 0
+
+    def gotLength(self, length: int | None) -> None:
+        """Start the handler of a request that has a body."""
+        self.content = BytesIO()
+        if length == 0:
+            return
+        start = self.channel.read_start()
+        self.method = start.method
+        self.uri = start.uri
+        self.clientproto = start.version
+        self.body = BodyStream(self.channel.transport, length)
+        self.channel.setTimeout(None)
+        self.channel.handler(self)
+
+    def handleContentChunk(self, chunk: bytes) -> None:
+        """Pass one chunk of the body on."""
+        if self.body is not None and not self._is_answered:
+            self.body.chunk_arrived(chunk)
+            return
+        self._dropped += len(chunk)
+        if self._dropped > MAX_DROPPED_BYTES:
+            self.channel.forceAbortClient()
+
+    def requestReceived(
+        self,
+        command: bytes,
+        path: bytes,
+        version: bytes,
+    ) -> None:
+        """Start the handler of a request without body, or end the body."""
+        self._is_received = True
+        self.clientproto = version
+        if self.body is None:
+            self.method = command
+            self.uri = path
+            self.channel.handler(self)
+            return
+        self.body.whole_arrived()
+        if self._is_answered:
+            self.finish()
+
+    def connectionLost(self, reason: Failure) -> None:
+        """Cut the body and tell whoever waits on ``notifyFinish``."""
+        self.is_gone = True
+        if self.body is not None:
+            self.body.cut()
+        super().connectionLost(reason)
+
+    def send_continue(self) -> None:
+        """Ask a caller that waits for it to send the body."""
+        expect = self.requestHeaders.getRawHeaders(EXPECT)
+        if self.body is not None and expect and not self._is_answered:
+            self.channel.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def answer(self, answer: Answer) -> None:
+        """Send a whole answer at once."""
+        if self.is_gone or self._is_answered:
+            return
+        self.setResponseCode(answer.status)
+        self.responseHeaders = answer.headers
+        length = str(len(answer.body)).encode()
+        self.responseHeaders.setRawHeaders(b'Content-Length', [length])
+        if not self._is_received:
+            self.channel.persistent = False
+            self.responseHeaders.setRawHeaders(b'Connection', [b'close'])
+        self.write(answer.body)
+        self.end_answer()
+
+    def end_answer(self) -> None:
+        """Finish now, or once the rest of the body has been read."""
+        if self.is_gone or self._is_answered:
+            return
+        self._is_answered = True
+        if self._is_received:
+            self.finish()
+        elif self.requestHeaders.getRawHeaders(EXPECT):
+            self.channel.loseConnection()
+        else:
+            self.channel.transport.resumeProducing()
+
+    def abort(self) -> None:
+        """Hang up, so that the caller sees that its answer is cut."""
+        if not self.is_gone:
+            self.channel.forceAbortClient()
+
+
+class _Start(NamedTuple):
+    method: bytes
+    uri: bytes
+    version: bytes
+
+
+Handler = Callable[[StreamRequest], None]
+
+
+class _StreamChannel(HTTPChannel):
+    requestFactory = StreamRequest  # type: ignore[assignment]  # noqa: WPS115  # overrides
+    handler: Handler
+    transport: Transport  # type: ignore[assignment]  # what TCP has
+
+    def read_start(self) -> _Start:
+        """Read the start of a request whose body is still to come."""
+        return _Start(
+            self._command,
+            cast(bytes, self._path),
+            cast(bytes, self._version),
+        )
+
+    def _send100Continue(self) -> None:  # overrides
+        """Leave it to the handler: see ``send_continue``."""
+
+
+def make_site(handler: Handler, reactor: Clock) -> HTTPFactory:
+    """Build a server that gives each request to one handler."""
+    return _StreamSite(handler, reactor)
+
+
+class _StreamSite(HTTPFactory):
+    def __init__(self, handler: Handler, reactor: Clock) -> None:
+        super().__init__(
+            timeout=IDLE_LIMIT_S,
+            reactor=cast(IReactorTime, reactor),
+        )
+        self._handler = handler
+        self.protocol = self._build_channel  # type: ignore[method-assign, assignment]
+
+    def log(self, request: Request) -> None:
+        """Skip the access log; calls are counted instead."""
+
+    def _build_channel(self) -> _StreamChannel:
+        channel = _StreamChannel()
+        channel.handler = self._handler
+        return channel
--- /dev/null
+++ b/marjoramlead/picking.py
@@ -0,0 +1,152 @@
+"""Pick the target of a call.
+
+A target counts if its host is listed as live, its data centre is not out and
+this node has not seen it fail of late. The own data centre comes first. Of
+two random choices the one with less known load is taken.
+"""
+
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Final
+
+from xxhash import xxh3_64_intdigest
+
+from marjoramlead.snapshot import Snapshot, Target
+
+__all__ = (
+    'TargetState',
+    'TargetStates',
+    'on_outcome',
+    'owner_of',
+    'pick',
+    'preferred',
+    'usable_targets',
+)
+
+EJECT_S: Final = 2.0
+MAX_EJECTED_SHARE: Final = 0.5
+LOAD_KEPT_S: Final = 2.0
+
+
+@dataclass(slots=True)
+class TargetState:
+    """What this node has seen of one target.
+
+    Attributes
+    ----------
+    in_flight
+        Calls of this node that the target has now.
+    ejected_until
+        On the node's monotonic clock.
+    refused_until
+        Until when the guard there asked to be spared.
+    """
+
+    in_flight: int = 0
+    ejected_until: float = 0
+    refused_until: float = 0
+
+
+class TargetStates:
+    """What this node has seen of all targets, by host."""
+
+    def __init__(self) -> None:
+        self.by_host: dict[str, TargetState] = {}
+
+    def of(self, host: str) -> TargetState:
+        """State of one host, made when it is first met."""
+        return self.by_host.setdefault(host, TargetState())
+
+    def keep_only(self, hosts: Collection[str]) -> None:
+        """Forget hosts that are no longer listed."""
+        for host in set(self.by_host) - set(hosts):
+            if not self.by_host[host].in_flight:
+                self.by_host.pop(host)
+
+
+def pick(
+    candidates: Sequence[Target],
+    states: TargetStates,
+    rng: Random,
+    now: float,
+) -> Target | None:
+    """Pick one of the candidates.
+
+    Parameters
+    ----------
+    candidates
+        Targets that may take the call, by ``usable_targets``.
+    states
+        What this node has seen of them.
+    rng
+        Seeded source of random choices.
+    now
+        Seconds on the node's monotonic clock.
+    """
+    if not candidates:
+        return None
+    pool = _without_ejected(candidates, states, now)
+    choices = [rng.choice(pool), rng.choice(pool)]
+    return min(choices, key=lambda target: _load(states, target, now))
+
+
+def usable_targets(
+    snapshot: Snapshot,
+    customer: str,
+    service: str,
+) -> list[Target]:
+    """List the targets in force that may take new work."""
+    return [
+        target
+        for target in snapshot.pools.get((customer, service), ())
+        if not target.leaving and target.data_centre not in snapshot.out
+    ]
+
+
+def preferred(
+    candidates: Sequence[Target],
+    data_centre: str,
+    tried: Collection[str],
+) -> Sequence[Target]:
+    """Leave out what was tried, and stay in one data centre if possible."""
+    untried = [each for each in candidates if each.host not in tried]
+    near = [each for each in untried if each.data_centre == data_centre]
+    return near or untried
+
+
+def owner_of(candidates: Sequence[Target], key: str) -> Target | None:
+    """Return the one target that runs requests with this key."""
+    return max(
+        candidates,
+        key=lambda each: xxh3_64_intdigest(f'{key}/{each.host}'.encode()),
+        default=None,
+    )
+
+
+def on_outcome(state: TargetState, now: float, *, reachable: bool) -> None:
+    """Eject a target that could not be reached, readmit one that could."""
+    state.ejected_until = 0 if reachable else now + EJECT_S
+
+
+def _without_ejected(
+    candidates: Sequence[Target],
+    states: TargetStates,
+    now: float,
+) -> Sequence[Target]:
+    kept = [
+        target
+        for target in candidates
+        if states.of(target.host).ejected_until <= now
+    ]
+    least = len(candidates) * (1 - MAX_EJECTED_SHARE)
+    return kept if len(kept) >= least else candidates
+
+
+def _load(
+    states: TargetStates,
+    target: Target,
+    now: float,
+) -> tuple[bool, int]:
+    state = states.of(target.host)
+    return state.refused_until > now, state.in_flight
--- /dev/null
+++ b/marjoramlead/porcelain.py
@@ -0,0 +1,197 @@
+"""What operators do, as plain functions; the command line only calls these."""
+
+import json
+import time
+from collections.abc import Callable, Iterator, Sequence
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from expression import Error, Result
+
+from marjoramlead.documents import (
+    CONTRACTS,
+    OPERATIONS,
+    check_document,
+    parse_object,
+)
+from marjoramlead.errors import DocumentError, Fault, NodeError
+from marjoramlead.node_client import fetch_status, publish, published
+from marjoramlead.reports import DocumentStatus, NodeStatus
+from marjoramlead.settings import read_text
+
+__all__ = (
+    'Checked',
+    'Progress',
+    'check_contract',
+    'document_in_force',
+    'set_out',
+    'submit',
+    'wait_in_force',
+)
+
+POLL_S: Final = 0.2
+
+
+class Checked(NamedTuple):
+    """A contract that passed the check."""
+
+    name: str
+    text: str
+
+
+class Progress(NamedTuple):
+    """How far a revision is in force.
+
+    Attributes
+    ----------
+    done
+        Nodes that have it, or a newer one, in force.
+    behind
+        Nodes that do not yet, by data centre and host.
+    refused
+        Reasons of nodes that refused it.
+    overtaken
+        The newer revision of the document that is in force instead, or 0.
+    """
+
+    done: int
+    behind: Sequence[str]
+    refused: Sequence[str]
+    overtaken: int
+
+
+def check_contract(path: Path) -> Checked:
+    """Check a contract file.
+
+    Raises
+    ------
+    DocumentError
+        Names the file, the path within it and the reason.
+    """
+    checked = read_text(path).bind(_check_text)
+    if checked.is_error():
+        raise DocumentError(f'{path}: {checked.error}')
+    return checked.ok
+
+
+def submit(publisher: str, contract: Checked) -> int:
+    """Hand a checked contract to the place that operators publish to.
+
+    Returns
+    -------
+    The revision that it got; the one that it already had if nothing changes.
+
+    Raises
+    ------
+    PublishError
+        If another operator's change came first.
+    """
+    held = published(publisher, contract.name)
+    if held['text'] == contract.text:
+        return held['revision']
+    return publish(publisher, contract.name, contract.text, held['revision'])
+
+
+def set_out(publisher: str, data_centre: str, *, out: bool) -> int:
+    """Take a data centre out, or bring it back.
+
+    Returns
+    -------
+    The revision under which that is published.
+
+    Raises
+    ------
+    PublishError
+        If another operator's change came first.
+    """
+    held = published(publisher, OPERATIONS)
+    parsed = parse_object(held['text'] or '{"out": []}')
+    if parsed.is_error():
+        raise DocumentError(f'{OPERATIONS}: {parsed.error}')
+    current = set(_names(parsed.ok.get('out')))
+    wanted = current | {data_centre} if out else current - {data_centre}
+    if wanted == current and held['revision']:
+        return held['revision']
+    text = json.dumps({'out': sorted(wanted)})
+    return publish(publisher, OPERATIONS, text, held['revision'])
+
+
+def document_in_force(status: NodeStatus, name: str) -> DocumentStatus | None:
+    """Find one document among those that a node has in force."""
+    return next(
+        (each for each in status['documents'] if each['name'] == name),
+        None,
+    )
+
+
+def wait_in_force(
+    nodes: Sequence[str],
+    name: str,
+    revision: int,
+    deadline: float,
+    sleep: Callable[[float], None] = time.sleep,
+) -> Iterator[Progress]:
+    """Follow a revision until it is in force everywhere.
+
+    Parameters
+    ----------
+    nodes
+        Admin ports to ask.
+    name
+        Of the document.
+    revision
+        That was published.
+    deadline
+        On the monotonic clock; the last progress may then be incomplete.
+    sleep
+        Waits between looks.
+    """
+    while True:  # noqa: WPS457  # ends at the deadline
+        progress = _look(nodes, name, revision)
+        yield progress
+        if not progress.behind or progress.refused:
+            return
+        if time.monotonic() >= deadline:
+            return
+        sleep(POLL_S)
+
+
+def _check_text(text: str) -> Result[Checked, Fault]:
+    parsed = parse_object(text)
+    if parsed.is_error():
+        return Error(parsed.error)
+    name = f'{CONTRACTS}{parsed.ok.get("customer", "")}'
+    return check_document(name, text).map(lambda _parsed: Checked(name, text))
+
+
+def _look(nodes: Sequence[str], name: str, revision: int) -> Progress:
+    behind: list[str] = []
+    refused: list[str] = []
+    newest = 0
+    for node in nodes:
+        try:
+            status = fetch_status(node)
+        except NodeError as exc:
+            behind.append(str(exc))
+            continue
+        place = f'{status["data_centre"]}/{status["host"]}'
+        held = document_in_force(status, name)
+        at = held['revision'] if held else 0
+        newest = max(newest, at)
+        if at < revision:
+            behind.append(place)
+        refused.extend(
+            f'{place}: {each["reason"]}'
+            for each in status['refused']
+            if (each['name'], each['revision']) == (name, revision)
+        )
+    return Progress(
+        done=len(nodes) - len(behind),
+        behind=behind,
+        refused=refused,
+        overtaken=newest if newest > revision else 0,
+    )
+
+
+def _names(listed: object) -> list[str]:
+    return [str(each) for each in listed] if isinstance(listed, list) else []
--- /dev/null
+++ b/marjoramlead/problems.py
@@ -0,0 +1,80 @@
+"""Render a refusal as an HTTP answer with a problem body."""
+
+from http import HTTPStatus
+from typing import Final, NamedTuple
+
+import msgspec
+from twisted.web.http_headers import Headers
+
+from marjoramlead import headers as names
+from marjoramlead.verdict import Reason, Refusal, Verdict
+
+__all__ = ('Answer', 'json_answer', 'read_refusal', 'refusal_answer')
+
+STATUSES: Final = {  # noqa: WPS407  # a table that nothing changes
+    Reason.BODY_CUT: HTTPStatus.BAD_REQUEST,
+    Reason.DEADLINE: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.DUPLICATE: HTTPStatus.CONFLICT,
+    Reason.NO_CONTRACT: HTTPStatus.NOT_FOUND,
+    Reason.NO_ROUTE: HTTPStatus.NOT_FOUND,
+    Reason.SILENT: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.TARGET_FAILED: HTTPStatus.BAD_GATEWAY,
+}
+
+
+class Answer(NamedTuple):
+    """A whole HTTP answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+def refusal_answer(refusal: Refusal, request_id: str) -> Answer:
+    """Say why a call has no answer, whether it may have run, and when next."""
+    status = STATUSES.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+    problem = {
+        'title': status.phrase,
+        'status': status.value,
+        'reason': refusal.reason.value,
+        'verdict': refusal.verdict.value,
+        'request_id': request_id,
+        'retry_after': refusal.retry_after,
+    }
+    answer = json_answer(status.value, problem)
+    fields = answer.headers
+    fields.setRawHeaders(b'Content-Type', [b'application/problem+json'])
+    fields.setRawHeaders(names.VERDICT, [refusal.verdict.encode()])
+    fields.setRawHeaders(names.REASON, [refusal.reason.encode()])
+    fields.setRawHeaders(names.REQUEST_ID, [request_id.encode()])
+    if refusal.retry_after:
+        after = str(refusal.retry_after).encode()
+        fields.setRawHeaders(names.RETRY_AFTER, [after])
+    return answer
+
+
+def read_refusal(fields: Headers) -> Refusal | None:
+    """Read the refusal of a guard; None where the target answered."""
+    reason = fields.getRawHeaders(names.REASON)
+    verdict = fields.getRawHeaders(names.VERDICT)
+    if not reason or not verdict:
+        return None
+    after = fields.getRawHeaders(names.RETRY_AFTER) or [b'0']
+    try:
+        return Refusal(
+            Reason(reason[0].decode()),
+            Verdict(verdict[0].decode()),
+            int(after[0]),
+        )
+    except ValueError:
+        return None
+
+
+def json_answer(status: int, content: object) -> Answer:
+    """Answer with a JSON body."""
+    body = msgspec.json.encode(content)
+    return Answer(
+        status,
+        Headers({b'Content-Type': [b'application/json']}),
+        body,
+    )
--- /dev/null
+++ b/marjoramlead/snapshot.py
@@ -0,0 +1,191 @@
+"""What is in force on a node: one immutable value, swapped whole."""
+
+from collections.abc import Mapping
+from typing import Literal, NamedTuple, cast
+
+from marjoramlead.documents import CONTRACTS, HOSTS
+from marjoramlead.generated.contract_types import (
+    ContractDocument,
+    RouteTerms,
+    ServiceTerms,
+)
+from marjoramlead.generated.hosts_types import HostEntry, HostsDocument
+from marjoramlead.generated.operations_types import OperationsDocument
+
+__all__ = (
+    'Contract',
+    'Route',
+    'Snapshot',
+    'Target',
+    'all_targets',
+    'find_route',
+    'with_document',
+    'without_document',
+)
+
+Kind = Literal['idempotent', 'at_most_once', 'upload', 'internal']
+SECOND_MS = 1000
+
+
+class Route(NamedTuple):
+    """Which calls reach a service, and what they are granted.
+
+    Attributes
+    ----------
+    wait_limit
+        Seconds that a request may wait for its whole answer.
+    attempts
+        Times that a request may be sent in all.
+    """
+
+    name: str
+    service: str
+    methods: frozenset[str]
+    path: str
+    kind: Kind
+    wait_limit: float
+    attempts: int
+
+
+class Contract(NamedTuple):
+    """One customer's contract, compiled; routes are longest path first."""
+
+    customer: str
+    retry_share: float
+    services: Mapping[str, ServiceTerms]
+    routes: tuple[Route, ...]
+
+
+class Target(NamedTuple):
+    """One target with the host that it runs on."""
+
+    host: str
+    data_centre: str
+    address: str
+    guard_port: int
+    control_port: int
+    customer: str
+    service: str
+    leaving: bool
+
+
+class Snapshot(NamedTuple):
+    """All documents in force, compiled.
+
+    Attributes
+    ----------
+    contracts
+        By customer.
+    hosts
+        Targets by data centre.
+    out
+        Data centres that operators have taken out.
+    pools
+        Targets by customer and service.
+    """
+
+    contracts: Mapping[str, Contract] = {}
+    hosts: Mapping[str, tuple[Target, ...]] = {}
+    out: frozenset[str] = frozenset()
+    pools: Mapping[tuple[str, str], tuple[Target, ...]] = {}
+
+
+def with_document(
+    snapshot: Snapshot,
+    name: str,
+    parsed: Mapping[str, object],
+) -> Snapshot:
+    """Return the snapshot with one checked document put in force."""
+    if name.startswith(CONTRACTS):
+        contract = _compile_contract(cast(ContractDocument, parsed))
+        contracts = {**snapshot.contracts, contract.customer: contract}
+        return snapshot._replace(contracts=contracts)
+    if name.startswith(HOSTS):
+        document = cast(HostsDocument, parsed)
+        targets = tuple(
+            _compile_target(document['data_centre'], entry)
+            for entry in document['hosts']
+        )
+        hosts = {**snapshot.hosts, document['data_centre']: targets}
+        return snapshot._replace(hosts=hosts, pools=_pools(hosts))
+    operations = cast(OperationsDocument, parsed)
+    return snapshot._replace(out=frozenset(operations['out']))
+
+
+def without_document(snapshot: Snapshot, name: str) -> Snapshot:
+    """Return the snapshot after one document was withdrawn."""
+    if name.startswith(CONTRACTS):
+        contracts = dict(snapshot.contracts)
+        contracts.pop(name.removeprefix(CONTRACTS), None)
+        return snapshot._replace(contracts=contracts)
+    if name.startswith(HOSTS):
+        hosts = dict(snapshot.hosts)
+        hosts.pop(name.removeprefix(HOSTS), None)
+        return snapshot._replace(hosts=hosts, pools=_pools(hosts))
+    return snapshot._replace(out=frozenset())
+
+
+def find_route(contract: Contract, method: str, path: str) -> Route | None:
+    """Return the route with the longest path that covers a call."""
+    for route in contract.routes:
+        if method in route.methods and _covers(route.path, path):
+            return route
+    return None
+
+
+def all_targets(snapshot: Snapshot) -> list[Target]:
+    """List the targets of every data centre."""
+    return [target for pool in snapshot.hosts.values() for target in pool]
+
+
+def _covers(prefix: str, path: str) -> bool:
+    if path == prefix:
+        return True
+    return path.startswith(prefix if prefix.endswith('/') else f'{prefix}/')
+
+
+def _compile_contract(document: ContractDocument) -> Contract:
+    routes = [_compile_route(terms) for terms in document['routes']]
+    routes.sort(key=lambda route: -len(route.path))
+    return Contract(
+        customer=document['customer'],
+        retry_share=document['retry_share'],
+        services={terms['service']: terms for terms in document['services']},
+        routes=tuple(routes),
+    )
+
+
+def _compile_route(terms: RouteTerms) -> Route:
+    return Route(
+        name=terms['route'],
+        service=terms['service'],
+        methods=frozenset(terms['methods']),
+        path=terms['path'],
+        kind=terms['kind'],
+        wait_limit=terms['wait_limit_ms'] / SECOND_MS,
+        attempts=terms['attempts'],
+    )
+
+
+def _compile_target(data_centre: str, entry: HostEntry) -> Target:
+    return Target(
+        host=entry['host'],
+        data_centre=data_centre,
+        address=entry['address'],
+        guard_port=entry['guard_port'],
+        control_port=entry['control_port'],
+        customer=entry['customer'],
+        service=entry['service'],
+        leaving=entry['state'] == 'leaving',
+    )
+
+
+def _pools(
+    hosts: Mapping[str, tuple[Target, ...]],
+) -> dict[tuple[str, str], tuple[Target, ...]]:
+    pools: dict[tuple[str, str], list[Target]] = {}
+    for targets in hosts.values():
+        for target in targets:
+            key = (target.customer, target.service)
+            pools.setdefault(key, []).append(target)
+    return {key: tuple(members) for key, members in pools.items()}
--- /dev/null
+++ b/marjoramlead/status.py
@@ -0,0 +1,107 @@
+"""Describe a node to operators."""
+
+from marjoramlead.admission import active_total
+from marjoramlead.agent import Agent, source_age
+from marjoramlead.gateway import Gateway
+from marjoramlead.guard import Guard
+from marjoramlead.reports import (
+    DocumentStatus,
+    LocalStatus,
+    NodeStatus,
+    TargetStatus,
+)
+from marjoramlead.slow_start import window_of
+from marjoramlead.snapshot import Target, all_targets
+
+__all__ = ('node_status',)
+
+
+def node_status(
+    agent: Agent,
+    gateway: Gateway,
+    guard: Guard,
+    control_bytes: int,
+    now: float,
+) -> NodeStatus:
+    """Describe a node.
+
+    Parameters
+    ----------
+    agent, gateway, guard
+        Its parts.
+    control_bytes
+        Bytes of control frames sent since the start.
+    now
+        Seconds on the node's monotonic clock.
+    """
+    store = agent.store
+    return {
+        'host': agent.identity.host,
+        'data_centre': agent.identity.data_centre,
+        'newest': store.newest,
+        'root': store.root,
+        'source_age_s': round(source_age(agent, now), 3),
+        'documents': _documents(agent, now),
+        'refused': [
+            {
+                'name': refused.name,
+                'revision': refused.revision,
+                'reason': refused.reason,
+            }
+            for refused in store.refused.values()
+        ],
+        'out': sorted(store.snapshot.out),
+        'targets': [
+            _target_status(gateway, target, now)
+            for target in all_targets(store.snapshot)
+        ],
+        'local': _local_status(guard),
+        'calls_in_flight': gateway.in_flight,
+        'control_bytes_sent': control_bytes,
+        'counters': agent.counters.by_name(),
+    }
+
+
+def _documents(agent: Agent, now: float) -> list[DocumentStatus]:
+    return [
+        {
+            'name': version.name,
+            'revision': version.revision,
+            'digest': version.digest,
+            'since_s': round(now - agent.in_force_since[version.name], 3),
+        }
+        for version in sorted(agent.store.in_force.values())
+    ]
+
+
+def _target_status(
+    gateway: Gateway,
+    target: Target,
+    now: float,
+) -> TargetStatus:
+    seen = gateway.place.states.of(target.host)
+    state = 'live'
+    if target.leaving:
+        state = 'leaving'
+    elif seen.ejected_until > now:
+        state = 'ejected'
+    return {
+        'host': target.host,
+        'data_centre': target.data_centre,
+        'customer': target.customer,
+        'service': target.service,
+        'state': state,
+        'in_flight': seen.in_flight,
+    }
+
+
+def _local_status(guard: Guard) -> LocalStatus:
+    admission = guard.admission
+    return {
+        'customer': guard.target['customer'],
+        'service': guard.target['service'],
+        'running': active_total(admission),
+        'waiting': len(admission.waiting),
+        'window': window_of(admission.warmth, admission.terms),
+        'is_draining': admission.is_draining,
+    }
--- /dev/null
+++ b/marjoramlead/terms.py
@@ -0,0 +1,101 @@
+"""Faults of a document that its schema cannot express.
+
+Each function takes a document that already fits its schema and returns the
+first fault, or None.
+"""
+
+from collections.abc import Iterator
+from typing import cast
+
+from marjoramlead.errors import Fault
+from marjoramlead.generated.contract_types import (
+    ContractDocument,
+    RouteTerms,
+    ServiceTerms,
+)
+from marjoramlead.generated.hosts_types import HostsDocument
+
+__all__ = ('contract_faults', 'hosts_faults')
+
+
+def contract_faults(parsed: dict[str, object]) -> Fault | None:
+    """First dangling reference, double name or contradiction."""
+    contract = cast(ContractDocument, parsed)
+    return next(_contract_faults(contract), None)
+
+
+def hosts_faults(parsed: dict[str, object]) -> Fault | None:
+    """First host that stands twice."""
+    hosts = cast(HostsDocument, parsed)['hosts']
+    names = [entry['host'] for entry in hosts]
+    return next(_twice('hosts', names, 'host'), None)
+
+
+def _contract_faults(contract: ContractDocument) -> Iterator[Fault]:
+    services = {terms['service']: terms for terms in contract['services']}
+    names = [terms['service'] for terms in contract['services']]
+    yield from _twice('services', names, 'service')
+    routes = [terms['route'] for terms in contract['routes']]
+    yield from _twice('routes', routes, 'route')
+    for index, service in enumerate(contract['services']):
+        yield from _service_faults(f'services[{index}]', service)
+    for index, route in enumerate(contract['routes']):
+        yield from _route_faults(f'routes[{index}]', route, services)
+    yield from _same_match(contract['routes'])
+
+
+def _twice(path: str, names: list[str], field: str) -> Iterator[Fault]:
+    seen: set[str] = set()
+    for index, name in enumerate(names):
+        if name in seen:
+            yield Fault(f'{path}[{index}].{field}', f'{name} stands twice')
+        seen.add(name)
+
+
+def _service_faults(path: str, terms: ServiceTerms) -> Iterator[Fault]:
+    if terms['cold_slots'] > terms['slots']:
+        yield Fault(f'{path}.cold_slots', 'must not exceed slots')
+    if terms['connections'] < terms['slots']:
+        yield Fault(f'{path}.connections', 'must not be fewer than slots')
+    if terms['upload_slots'] + terms['internal_slots'] > terms['slots']:
+        yield Fault(
+            f'{path}.upload_slots',
+            'must leave room for internal_slots within slots',
+        )
+
+
+def _route_faults(
+    path: str,
+    terms: RouteTerms,
+    services: dict[str, ServiceTerms],
+) -> Iterator[Fault]:
+    service = services.get(terms['service'])
+    if service is None:
+        yield Fault(
+            f'{path}.service',
+            f'{terms["service"]} is no service of this contract',
+        )
+    elif terms['kind'] == 'upload' and not service['upload_slots']:
+        yield Fault(
+            f'{path}.kind',
+            f'upload needs upload_slots of {terms["service"]}',
+        )
+    writes = set(terms['methods']) - {'GET', 'HEAD', 'PUT', 'DELETE'}
+    if terms['kind'] == 'internal' and writes:
+        yield Fault(f'{path}.methods', 'internal checks must be idempotent')
+
+
+def _same_match(routes: list[RouteTerms]) -> Iterator[Fault]:
+    matches = [
+        (method, terms['path'], index)
+        for index, terms in enumerate(routes)
+        for method in terms['methods']
+    ]
+    first: dict[tuple[str, str], int] = {}
+    for method, path, index in matches:
+        earlier = first.setdefault((method, path), index)
+        if earlier != index:
+            yield Fault(
+                f'routes[{index}].path',
+                f'{method} {path} is already matched by routes[{earlier}]',
+            )
--- /dev/null
+++ b/marjoramlead/verdict.py
@@ -0,0 +1,53 @@
+"""Whether a request may have run, and how a call ended."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = ('Reason', 'Refusal', 'Verdict')
+
+
+class Verdict(StrEnum):
+    """Whether the work of a request may have happened."""
+
+    NOT_RUN = 'not_run'
+    MAY_HAVE_RUN = 'may_have_run'
+    RAN = 'ran'
+
+
+class Reason(StrEnum):
+    """Why a call was refused, failed or tried again."""
+
+    BARRED = 'barred'
+    BODY_CUT = 'body_cut'
+    CONNECT_FAILED = 'connect_failed'
+    DATA_CENTRE_OUT = 'data_centre_out'
+    DEADLINE = 'deadline'
+    DRAINING = 'draining'
+    DUPLICATE = 'duplicate'
+    NO_CONTRACT = 'no_contract'
+    NO_ROUTE = 'no_route'
+    NO_TARGET = 'no_target'
+    OVERLOAD = 'overload'
+    RETRY_BUDGET = 'retry_budget'
+    SILENT = 'silent'
+    TARGET_FAILED = 'target_failed'
+    UPLOAD_SLOTS = 'upload_slots'
+    WRONG_TARGET = 'wrong_target'
+
+
+class Refusal(NamedTuple):
+    """The final answer to a call that got none from its target.
+
+    Attributes
+    ----------
+    reason
+        The cause, also the name of a counter.
+    verdict
+        Whether the work may have happened.
+    retry_after
+        Seconds until the caller should come back; 0 where it should not.
+    """
+
+    reason: Reason
+    verdict: Verdict
+    retry_after: int = 1
--- /dev/null
+++ b/marjoramlead/versions.py
@@ -0,0 +1,218 @@
+"""The versions that a node holds, and the rule by which one is taken.
+
+Versions of a document are ordered by the source's revision, then by digest.
+A version is put in force if it is newer than the one in force and its text
+passes the check. Nothing else moves what is in force.
+"""
+
+from enum import StrEnum
+from hashlib import blake2b
+from typing import NamedTuple
+
+from marjoramlead.documents import check_document, digest_of
+from marjoramlead.errors import Fault
+from marjoramlead.snapshot import Snapshot, with_document, without_document
+
+__all__ = (
+    'Outcome',
+    'RefusedVersion',
+    'Version',
+    'VersionStore',
+    'heads_after',
+    'make_version',
+    'note_refusal',
+    'offer',
+    'refusals_after',
+    'withdraw_absent',
+)
+
+ROOT_BYTES = 8
+
+
+class Version(NamedTuple):
+    """One version of a document; an empty text withdraws it."""
+
+    name: str
+    revision: int
+    digest: str
+    text: str
+
+
+class RefusedVersion(NamedTuple):
+    """A version that failed the check, here or at a peer."""
+
+    name: str
+    revision: int
+    digest: str
+    reason: str
+
+
+class Outcome(StrEnum):
+    """What became of an offered version."""
+
+    APPLIED = 'applied'
+    OLDER = 'older'
+    REFUSED = 'refused'
+    WRONG_DIGEST = 'wrong_digest'
+
+
+class VersionStore:
+    """What is in force, what was refused, and their common digest.
+
+    Attributes
+    ----------
+    in_force
+        The version in force of each document, by name.
+    refused
+        The latest refused version of each document, if newer than that.
+    snapshot
+        The documents in force, compiled.
+    newest
+        Highest revision held, in force or refused.
+    root
+        Digest of all heads; equal roots mean equal content.
+    """
+
+    def __init__(self) -> None:
+        self.in_force: dict[str, Version] = {}
+        self.refused: dict[str, RefusedVersion] = {}
+        self.snapshot = Snapshot()
+        self.newest = 0
+        self.root = ''
+
+
+def make_version(name: str, revision: int, text: str) -> Version:
+    """Build a version from what the source published."""
+    return Version(name, revision, digest_of(text), text)
+
+
+def offer(store: VersionStore, version: Version) -> Outcome:
+    """Take a version if it is newer and sound.
+
+    Parameters
+    ----------
+    store
+        Changed only where the outcome is APPLIED or REFUSED.
+    version
+        From the source or a peer, in any order, any number of times.
+    """
+    if not _is_news(store, version):
+        return Outcome.OLDER
+    if digest_of(version.text) != version.digest:
+        return Outcome.WRONG_DIGEST
+    if not version.text:
+        _apply(store, version, without_document(store.snapshot, version.name))
+        return Outcome.APPLIED
+    checked = check_document(version.name, version.text)
+    if checked.is_error():
+        _refuse(store, version, checked.error)
+        return Outcome.REFUSED
+    snapshot = with_document(store.snapshot, version.name, checked.ok)
+    _apply(store, version, snapshot)
+    return Outcome.APPLIED
+
+
+def note_refusal(store: VersionStore, refusal: RefusedVersion) -> bool:
+    """Remember that a peer refused a version newer than the one held."""
+    held = store.in_force.get(refusal.name)
+    known = store.refused.get(refusal.name)
+    order = (refusal.revision, refusal.digest)
+    if held and order <= (held.revision, held.digest):
+        return False
+    if known and order <= (known.revision, known.digest):
+        return False
+    store.refused[refusal.name] = refusal
+    _sum_up(store)
+    return True
+
+
+def withdraw_absent(
+    store: VersionStore,
+    names: frozenset[str],
+    revision: int,
+) -> list[Version]:
+    """Withdraw what a listing of the source no longer names.
+
+    Parameters
+    ----------
+    store
+        Changed where a document was withdrawn.
+    names
+        All names that the source listed.
+    revision
+        Revision of that listing; a newer document is left alone.
+
+    Returns
+    -------
+    The versions by which documents were withdrawn.
+    """
+    withdrawn = [
+        make_version(held.name, revision, '')
+        for held in store.in_force.values()
+        if held.text and held.name not in names and held.revision < revision
+    ]
+    for version in withdrawn:
+        offer(store, version)
+    return withdrawn
+
+
+def heads_after(store: VersionStore, revision: int) -> list[Version]:
+    """List the versions in force that are newer than a revision."""
+    return [
+        version
+        for version in store.in_force.values()
+        if version.revision > revision
+    ]
+
+
+def refusals_after(store: VersionStore, revision: int) -> list[RefusedVersion]:
+    """List the refused versions that are newer than a revision."""
+    return [
+        refusal
+        for refusal in store.refused.values()
+        if refusal.revision > revision
+    ]
+
+
+def _is_news(store: VersionStore, version: Version) -> bool:
+    order = (version.revision, version.digest)
+    held = store.in_force.get(version.name)
+    if held is not None and order <= (held.revision, held.digest):
+        return False
+    refused = store.refused.get(version.name)
+    return refused is None or order != (refused.revision, refused.digest)
+
+
+def _apply(store: VersionStore, version: Version, snapshot: Snapshot) -> None:
+    refused = store.refused.get(version.name)
+    if refused and refused.revision <= version.revision:
+        store.refused.pop(version.name)
+    store.in_force[version.name] = version
+    store.snapshot = snapshot
+    _sum_up(store)
+
+
+def _refuse(store: VersionStore, version: Version, fault: Fault) -> None:
+    known = store.refused.get(version.name)
+    if known is None or known.revision <= version.revision:
+        store.refused[version.name] = RefusedVersion(
+            version.name,
+            version.revision,
+            version.digest,
+            str(fault),
+        )
+        _sum_up(store)
+
+
+def _sum_up(store: VersionStore) -> None:
+    held: list[Version | RefusedVersion] = list(store.in_force.values())
+    held.extend(store.refused.values())
+    store.newest = max(head.revision for head in held)
+    root = blake2b(digest_size=ROOT_BYTES)
+    for line in sorted(_head_line(head) for head in held):
+        root.update(line.encode())
+    store.root = root.hexdigest()
+
+
+def _head_line(head: Version | RefusedVersion) -> str:
+    return f'{head.name} {head.revision} {head.digest}\n'
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what is outside: the source and the targets."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""The tests, one module for each module that they cover."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,24 @@
+"""Same inputs on every run; a longer search is asked for by its profile."""
+
+import os
+
+from hypothesis import HealthCheck, settings
+
+settings.register_profile(
+    'ci',
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=60,
+    stateful_step_count=40,
+    suppress_health_check=list(HealthCheck),
+)
+settings.register_profile(
+    'search',
+    parent=settings.get_profile('ci'),
+    derandomize=False,
+    max_examples=3000,
+    stateful_step_count=80,
+    print_blob=True,
+)
+settings.load_profile(os.environ.get('HYPOTHESIS_PROFILE', 'ci'))
--- /dev/null
+++ b/tests/samples.py
@@ -0,0 +1,43 @@
+"""Documents that the tests start from."""
+
+import copy
+import json
+from pathlib import Path
+
+import jsonc
+
+EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
+
+
+def contract(customer: str = 'tamworth') -> dict:
+    """Return the example contract, to be changed at will."""
+    return copy.deepcopy(
+        jsonc.loads((EXAMPLES / f'{customer}.json').read_text())
+    )
+
+
+def contract_text(customer: str = 'tamworth', queue: int = 20) -> str:
+    """Return a sound contract; the queue tells versions apart."""
+    terms = contract()
+    terms['customer'] = customer
+    terms['services'][0]['queue'] = queue
+    return json.dumps(terms)
+
+
+def hosts_text(data_centre: str, hosts: list[dict]) -> str:
+    """Return a host list."""
+    return json.dumps({'data_centre': data_centre, 'hosts': hosts})
+
+
+def host(name: str, port: int = 1, **changes: object) -> dict:
+    """Return one entry of a host list."""
+    return {
+        'host': name,
+        'address': '127.0.0.1',
+        'guard_port': port,
+        'control_port': port,
+        'customer': 'tamworth',
+        'service': 'kits',
+        'state': 'live',
+        **changes,
+    }
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,81 @@
+import json
+
+import pytest
+
+from marjoramlead.documents import MAX_DOCUMENT_BYTES, check_document
+from tests.samples import contract, host, hosts_text
+
+
+def fault_of(name, parsed):
+    checked = check_document(name, json.dumps(parsed))
+    return checked.error if checked.is_error() else None
+
+
+def changed(path, to):
+    terms = contract()
+    place = terms
+    for step in path[:-1]:
+        place = place[step]
+    if to is None:
+        place.pop(path[-1])
+    else:
+        place[path[-1]] = to
+    return terms
+
+
+def test_example_contracts_are_sound():
+    for customer in ('tamworth', 'te-puna-tatai'):
+        assert fault_of(f'contracts/{customer}', contract(customer)) is None
+
+
+@pytest.mark.parametrize(
+    ('path', 'to', 'where', 'why'),
+    [
+        (('services', 0, 'slots'), 'many', 'services[0].slots', 'integer'),
+        (('services', 0, 'slots'), True, 'services[0].slots', 'integer'),
+        (('services', 0, 'colour'), 'red', 'services[0]', 'colour'),
+        (('services', 0, 'queue'), None, 'services[0]', 'queue'),
+        (('retry_share',), 1.5, 'retry_share', '1'),
+        (('routes', 1, 'service'), 'x', 'routes[1].service', 'no service'),
+        (('routes', 1, 'route'), 'look-up', 'routes[1].route', 'twice'),
+        (('routes', 1, 'path'), '/kits', 'routes[1].path', 'already'),
+        (('services', 0, 'cold_slots'), 7, 'services[0].cold_slots', 'slots'),
+        (('services', 0, 'connections'), 2, 'services[0].connections', 'few'),
+        (('services', 1, 'upload_slots'), 6, 'services[1]', 'room'),
+        (('services', 1, 'upload_slots'), 0, 'routes[4].kind', 'upload'),
+        (('customer',), 'someone', 'customer', 'tamworth'),
+    ],
+)
+def test_fault_names_path_and_reason(path, to, where, why):
+    fault = fault_of('contracts/tamworth', changed(path, to))
+    assert fault is not None
+    assert where in fault.path
+    assert why in fault.reason
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['', '{', '[]', '{"customer": ', 'null', '[' * 100_000],
+)
+def test_text_that_is_no_object_is_refused(text):
+    assert check_document('contracts/tamworth', text).is_error()
+
+
+def test_too_large_is_refused():
+    text = json.dumps(contract()) + ' ' * MAX_DOCUMENT_BYTES
+    assert 'larger' in check_document('contracts/tamworth', text).error.reason
+
+
+def test_comments_are_allowed():
+    text = f'// why\n{json.dumps(contract())}'
+    assert check_document('contracts/tamworth', text).is_ok()
+
+
+def test_unknown_kind_is_refused():
+    assert check_document('secrets/tamworth', '{}').is_error()
+
+
+def test_host_that_stands_twice_is_refused():
+    text = hosts_text('walsall', [host('w-1'), host('w-1')])
+    checked = check_document('hosts/walsall', text)
+    assert checked.error.path == 'hosts[1].host'
