At most once for keys: a majority of keepers grants a key

Cause of the double run: the owner of an idempotency key was the first of the usable targets, so a data centre taken out, a restart or a leaving host gave the key to another owner, which knew nothing of it. Ruled out: the ledger and the gateway's retries (each ran a key once while the targets stayed).

Weighed: one owner that refuses for a time after any change (keys of a seventh of a service's calls refused for minutes at each restart); a copy at one witness (two cut halves find two witnesses); a majority of three keepers drawn from the host list, of which those that may have forgotten do not vote. The last one is built; no process holds anything for others to write.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -65,6 +65,7 @@
         {
             'customer': customer,
             'retry_share': 0.1,
+            'key_memory_ms': 30_000,
             'services': services,
             'routes': routes,
         }
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -41,6 +41,7 @@
 START_LIMIT_S = 20.0
 CALL_LIMIT_S = 10.0
 WORKBOOK_BYTES = 3_000_000
+KEY_MS = 3000
 
 
 class Ended(NamedTuple):
@@ -123,10 +124,18 @@
     for name, text in hosts_documents(fleet.members).items():
         publish(publisher, name, text, 0)
     for example in ('te-puna-tatai', 'tamworth'):
-        checked = check_contract(EXAMPLES / f'{example}.json')
+        path = fleet.folder / f'{example}.json'
+        path.write_text(example_text(example))
+        checked = check_contract(path)
         follow(fleet, account, checked.name, submit(publisher, checked))
 
 
+def example_text(name: str) -> str:
+    """Read an example; its keys are remembered for a shorter time here."""
+    text = (EXAMPLES / f'{name}.json').read_text()
+    return text.replace('"key_memory_ms": 30000', f'"key_memory_ms": {KEY_MS}')
+
+
 def browse(fleet: Fleet, account: Account, calls: int) -> None:
     """Browse both catalogues through all nodes."""
     ended = Counter(
@@ -144,6 +153,7 @@
     """Publish a template, then ask again with the same key elsewhere."""
     path = '/te-puna-tatai/templates'
     key = 'template-7-version-2'
+    time.sleep(KEY_MS / 1000)
     first = call(fleet.members[0], 'POST', path, b'v2', key)
     again = call(fleet.members[5], 'POST', path, b'v2', key)
     account.state(
@@ -190,7 +200,7 @@
 def change_contract(fleet: Fleet, account: Account) -> None:
     """Publish a change, then a contract that must be refused, then mend it."""
     publisher = f'http://{ADDRESS}:{fleet.source}'
-    text = (EXAMPLES / 'tamworth.json').read_text()
+    text = example_text('tamworth')
     changed = fleet.folder / 'changed.json'
     changed.write_text(text.replace('"queue": 20', '"queue": 25'))
     checked = check_contract(changed)
--- a/marjoramlead/calls.py
+++ b/marjoramlead/calls.py
@@ -2,11 +2,10 @@
 
 from dataclasses import dataclass, field
 from random import Random
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from marjoramlead.picking import (
     TargetStates,
-    owner_of,
     pick,
     preferred,
     usable_targets,
@@ -23,8 +22,6 @@
 
 __all__ = ('Call', 'Place', 'after_refusal', 'match_call', 'next_target')
 
-OWNED: Final = frozenset(('at_most_once', 'upload'))
-
 
 class Place(NamedTuple):
     """Where calls are decided: a gateway's view of the fleet."""
@@ -51,8 +48,6 @@
         That was in force when the call arrived; it keeps it to its end.
     deadline
         On the node's monotonic clock.
-    key
-        The caller's idempotency key, if it sent one.
     tried
         Hosts that had an attempt.
     has_doubt
@@ -64,7 +59,6 @@
     route: Route
     request_id: str
     deadline: float
-    key: str | None = None
     tried: list[str] = field(default_factory=list)
     has_doubt: bool = False
 
@@ -112,8 +106,6 @@
         call.has_doubt = True
     if not may_retry(call.route, refusal.verdict, len(call.tried)):
         return _final(call, refusal)
-    if call.key is not None and call.route.kind in OWNED:
-        return _final(call, refusal)
     if now >= call.deadline or not take_retry(budget):
         return _final(call, refusal)
     return None
@@ -125,8 +117,6 @@
         call.contract.customer,
         call.route.service,
     )
-    if call.key is not None and call.route.kind in OWNED:
-        return owner_of(candidates, call.key)
     untried = preferred(candidates, place.data_centre, call.tried)
     return pick(untried, place.states, place.rng, now)
 
--- /dev/null
+++ b/marjoramlead/claiming.py
@@ -0,0 +1,149 @@
+"""Claim an idempotency key at its keepers before a request runs under it."""
+
+from collections.abc import Sequence
+from typing import Final, NamedTuple
+
+from twisted.internet.defer import Deferred
+from twisted.web.http_headers import Headers
+
+from marjoramlead import headers as names
+from marjoramlead.guard import Guard, follow_service, service_hosts
+from marjoramlead.http_client import Outgoing, drop_body, send_request
+from marjoramlead.http_server import StreamRequest
+from marjoramlead.keepers import (
+    Tally,
+    Vote,
+    keepers_of,
+    release_key,
+    tally,
+    vote,
+)
+from marjoramlead.problems import Answer
+from marjoramlead.snapshot import Target
+from marjoramlead.verdict import Reason, Refusal, Verdict
+
+__all__ = ('KeyClaim', 'answer_claim', 'claim_key', 'give_up_key')
+
+CLAIM_LIMIT_S: Final = 1.0
+NO_CONTENT: Final = 204
+
+
+class KeyClaim(NamedTuple):
+    """A request that wants to run under a key."""
+
+    key: str
+    holder: str
+    deadline: float
+
+
+def answer_claim(guard: Guard, req: StreamRequest) -> None:
+    """Vote on a claim of another guard, or take its release."""
+    fields = req.requestHeaders
+    key = _first(fields, names.CLAIM)
+    holder = _first(fields, names.HOLDER)
+    if fields.hasHeader(names.RELEASE):
+        release_key(guard.ledger, key, holder)
+        req.answer(Answer(NO_CONTENT, Headers(), b''))
+        return
+    cast = _own_vote(guard, key, holder)
+    answer = Headers({names.VOTE: [cast.encode()]})
+    req.answer(Answer(NO_CONTENT, answer, b''))
+
+
+async def claim_key(guard: Guard, claim: KeyClaim) -> Refusal | None:
+    """Get a key granted by a majority of its keepers.
+
+    Returns
+    -------
+    None if the request may run; else why not, with the key set free.
+    """
+    keepers = _keepers(guard, claim.key)
+    decided: Deferred[Tally] = Deferred()
+    votes: list[Vote | None] = []
+
+    def count(cast: Vote | None) -> None:
+        votes.append(cast)
+        outcome = tally(votes, len(keepers))
+        if outcome is not Tally.OPEN and not decided.called:
+            decided.callback(outcome)
+
+    for keeper in keepers:
+        asked = Deferred.fromCoroutine(_ask(guard, keeper, claim))
+        asked.addErrback(lambda _failure: None)
+        asked.addCallback(count)
+    outcome = await decided
+    if outcome is Tally.GRANTED:
+        return None
+    give_up_key(guard, claim)
+    return _refusal(guard, outcome)
+
+
+def give_up_key(guard: Guard, claim: KeyClaim) -> None:
+    """Set a key free whose request has not run and never will."""
+    for keeper in _keepers(guard, claim.key):
+        if keeper.host == guard.host:
+            release_key(guard.ledger, claim.key, claim.holder)
+        else:
+            fields = _headers(claim)
+            fields.setRawHeaders(names.RELEASE, [b'1'])
+            sent = Deferred.fromCoroutine(_send(guard, keeper, fields))
+            sent.addErrback(lambda _failure: None)
+
+
+def _keepers(guard: Guard, key: str) -> Sequence[Target]:
+    by_host = {each.host: each for each in service_hosts(guard)}
+    return [by_host[host] for host in keepers_of(by_host, key)]
+
+
+async def _ask(guard: Guard, keeper: Target, claim: KeyClaim) -> Vote | None:
+    if keeper.host == guard.host:
+        return _own_vote(guard, claim.key, claim.holder)
+    answer = await _send(guard, keeper, _headers(claim))
+    cast = _first(answer, names.VOTE) if answer else ''
+    return Vote(cast) if cast in set(Vote) else None
+
+
+async def _send(
+    guard: Guard,
+    keeper: Target,
+    fields: Headers,
+) -> Headers | None:
+    url = f'http://{keeper.address}:{keeper.guard_port}/'
+    deadline = guard.reactor.seconds() + CLAIM_LIMIT_S
+    outgoing = Outgoing(b'POST', url.encode(), fields, None, deadline)
+    sent = await send_request(guard.peers, guard.reactor, outgoing)
+    if sent.is_error():
+        return None
+    drop_body(sent.ok)
+    return sent.ok.headers
+
+
+def _own_vote(guard: Guard, key: str, holder: str) -> Vote:
+    contract = guard.snapshot_of().contracts.get(guard.target['customer'])
+    if contract is None:
+        return Vote.UNKNOWN
+    follow_service(guard)
+    now = guard.reactor.seconds()
+    return vote(guard.ledger, key, holder, now, contract.key_memory)
+
+
+def _refusal(guard: Guard, outcome: Tally) -> Refusal:
+    if outcome is Tally.HELD:
+        return Refusal(Reason.DUPLICATE, Verdict.MAY_HAVE_RUN, 0)
+    contract = guard.snapshot_of().contracts.get(guard.target['customer'])
+    memory = int(contract.key_memory) if contract else 1
+    return Refusal(Reason.KEY_UNKNOWN, Verdict.MAY_HAVE_RUN, max(1, memory))
+
+
+def _headers(claim: KeyClaim) -> Headers:
+    return Headers(
+        {
+            names.CLAIM: [claim.key.encode('latin-1')],
+            names.HOLDER: [claim.holder.encode('latin-1')],
+        }
+    )
+
+
+def _first(fields: Headers, name: bytes) -> str:
+    raw = fields.getRawHeaders(name)
+    return raw[0].decode('latin-1') if raw else ''
--- a/marjoramlead/daemon.py
+++ b/marjoramlead/daemon.py
@@ -21,6 +21,7 @@
 from marjoramlead.guarding import handle_work
 from marjoramlead.http_client import make_agent
 from marjoramlead.http_server import Handler, StreamRequest, make_site
+from marjoramlead.keepers import KeyLedger
 from marjoramlead.load_watch import start_load_watch
 from marjoramlead.logs import daemon_log
 from marjoramlead.peers import Identity
@@ -67,12 +68,15 @@
         counters,
     )
     guard = Guard(
+        settings['host'],
         settings['data_centre'],
         settings['target'],
         snapshot_of,
         make_agent(reactor, TARGET_CONNECTIONS),
+        peers,
         reactor,
         counters,
+        KeyLedger(settings['host'], reactor.seconds()),
     )
     port = ControlPort(settings['key'].encode(), counters)
     driver = Driver(agent, port, peers, reactor, settings['source'])
--- a/marjoramlead/gateway.py
+++ b/marjoramlead/gateway.py
@@ -107,7 +107,6 @@
         route=match.route,
         request_id=request_id,
         deadline=gateway.reactor.seconds() + wait,
-        key=_text_header(req, names.IDEMPOTENCY_KEY),
     )
 
 
--- a/marjoramlead/guard.py
+++ b/marjoramlead/guard.py
@@ -20,18 +20,20 @@
 from marjoramlead.counters import Counters
 from marjoramlead.generated.contract_types import ServiceTerms
 from marjoramlead.generated.settings_types import TargetSettings
-from marjoramlead.ledger import Ledger
-from marjoramlead.snapshot import Kind, Snapshot
+from marjoramlead.keepers import KeyLedger, follow_hosts
+from marjoramlead.snapshot import Kind, Snapshot, Target
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
 __all__ = (
     'Guard',
-    'claim',
     'drain_guard',
     'enter',
+    'follow_service',
     'leave',
     'place_refusal',
     'reserve',
+    'service_hosts',
+    'take_reserved',
 )
 
 RESERVED_S: Final = 5.0
@@ -54,6 +56,10 @@
 
     Attributes
     ----------
+    agent
+        Client of the local target.
+    peers
+        Client of other guards.
     admission
         Grants nothing until a contract for the local target is in force.
     reserved
@@ -63,13 +69,15 @@
         What to fire when a waiting request may run, by its number.
     """
 
+    host: str
     data_centre: str
     target: TargetSettings
     snapshot_of: Callable[[], Snapshot]
     agent: Agent
+    peers: Agent
     reactor: Clock
     counters: Counters
-    ledger: Ledger = field(default_factory=Ledger)
+    ledger: KeyLedger
     admission: Admission = field(
         default_factory=lambda: Admission(NO_TERMS),
     )
@@ -120,7 +128,7 @@
     return await _wait_for_slot(guard, entry)
 
 
-def claim(guard: Guard, request_id: str) -> int | None:
+def take_reserved(guard: Guard, request_id: str) -> int | None:
     """Take over the slot that was reserved for an upload."""
     return guard.reserved.pop(request_id, None)
 
@@ -179,3 +187,16 @@
     if guard.reserved.get(request_id) == number:
         guard.reserved.pop(request_id)
         leave(guard, number, answered=False)
+
+
+def service_hosts(guard: Guard) -> tuple[Target, ...]:
+    """List the targets of the local service, usable or not."""
+    own = guard.target
+    pool = (own['customer'], own['service'])
+    return guard.snapshot_of().pools.get(pool, ())
+
+
+def follow_service(guard: Guard) -> None:
+    """Let the key ledger follow the host list in force."""
+    hosts = tuple(sorted(each.host for each in service_hosts(guard)))
+    follow_hosts(guard.ledger, hosts, guard.reactor.seconds())
--- a/marjoramlead/guarding.py
+++ b/marjoramlead/guarding.py
@@ -8,17 +8,22 @@
 
 from marjoramlead import headers as names
 from marjoramlead.admission import restart_cold
+from marjoramlead.claiming import (
+    KeyClaim,
+    answer_claim,
+    claim_key,
+    give_up_key,
+)
 from marjoramlead.guard import (
     Guard,
-    claim,
     enter,
     leave,
     place_refusal,
     reserve,
+    take_reserved,
 )
 from marjoramlead.http_client import Outgoing, drop_body, send_request
 from marjoramlead.http_server import StreamRequest
-from marjoramlead.ledger import Fate, begin_once, end_once
 from marjoramlead.logs import guard_log
 from marjoramlead.problems import Answer, read_refusal, refusal_answer
 from marjoramlead.relay import (
@@ -32,6 +37,7 @@
 __all__ = ('handle_work',)
 
 SECOND_MS: Final = 1000
+ONCE: Final = frozenset(('at_most_once', 'upload'))
 KINDS: Final = frozenset(('idempotent', 'at_most_once', 'upload', 'internal'))
 CUT: Final = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN)
 COLD_SIGNS: Final = frozenset((Reason.CONNECT_FAILED, Reason.TARGET_FAILED))
@@ -42,8 +48,8 @@
 
     Attributes
     ----------
-    once_id
-        The idempotency key or request id under which it runs at most once.
+    key
+        The caller's idempotency key within its route; empty if it sent none.
     deadline
         On this node's monotonic clock.
     """
@@ -51,13 +57,16 @@
     customer: str
     service: str
     request_id: str
-    once_id: str
+    key: str
     kind: Kind
     deadline: float
 
 
 def handle_work(guard: Guard, req: StreamRequest) -> None:
     """Serve one request to its end; never raises."""
+    if req.requestHeaders.hasHeader(names.CLAIM):
+        answer_claim(guard, req)
+        return
     work = _read_work(guard, req)
     if work is None:
         refusal = Refusal(Reason.WRONG_TARGET, Verdict.NOT_RUN, 0)
@@ -82,7 +91,7 @@
         customer=_first(fields, names.CUSTOMER),
         service=_first(fields, names.SERVICE),
         request_id=request_id,
-        once_id=_first(fields, names.IDEMPOTENCY_KEY) or request_id,
+        key=_first(fields, names.IDEMPOTENCY_KEY),
         kind=cast(Kind, kind),
         deadline=guard.reactor.seconds() + int(wait_ms) / SECOND_MS,
     )
@@ -96,7 +105,7 @@
     refusal = place_refusal(guard, work.customer, work.service)
     if refusal is not None:
         return refusal
-    claimed = claim(guard, work.request_id)
+    claimed = take_reserved(guard, work.request_id)
     if claimed is None:
         number = await enter(guard, work.kind, work.deadline)
     else:
@@ -125,25 +134,23 @@
     now = guard.reactor.seconds()
     if now >= work.deadline:
         return Refusal(Reason.DEADLINE, Verdict.NOT_RUN)
-    if work.kind in {'idempotent', 'internal'}:
+    if work.kind not in ONCE or not work.key:
         return await _send(guard, req, work)
-    fate = begin_once(guard.ledger, work.once_id, now)
-    if fate is Fate.BARRED:
-        return Refusal(Reason.BARRED, Verdict.NOT_RUN)
-    if fate is not None:
-        return Refusal(Reason.DUPLICATE, Verdict.MAY_HAVE_RUN, 0)
-    refusal: Refusal | None = CUT
-    try:
+    claim = KeyClaim(work.key, _holder(guard, work), work.deadline)
+    refusal = await claim_key(guard, claim)
+    if refusal is not None:
+        return refusal
+    if guard.reactor.seconds() >= work.deadline:
+        refusal = Refusal(Reason.DEADLINE, Verdict.NOT_RUN)
+    else:
         refusal = await _send(guard, req, work)
-    finally:
-        _note_end(guard, work, refusal)
+    if refusal is not None and refusal.verdict is Verdict.NOT_RUN:
+        give_up_key(guard, claim)
     return refusal
 
 
-def _note_end(guard: Guard, work: Work, refusal: Refusal | None) -> None:
-    has_run = refusal is None or refusal.verdict is not Verdict.NOT_RUN
-    now = guard.reactor.seconds()
-    end_once(guard.ledger, work.once_id, now, has_run=has_run)
+def _holder(guard: Guard, work: Work) -> str:
+    return f'{work.request_id}/{guard.host}/{next(guard.numbers)}'
 
 
 async def _send(
--- a/marjoramlead/headers.py
+++ b/marjoramlead/headers.py
@@ -7,17 +7,21 @@
 from typing import Final
 
 __all__ = (
+    'CLAIM',
     'CUSTOMER',
+    'HOLDER',
     'HOP_BY_HOP',
     'IDEMPOTENCY_KEY',
     'KIND',
     'REASON',
+    'RELEASE',
     'REQUEST_ID',
     'RESERVE',
     'RETRY_AFTER',
     'REVISION',
     'SERVICE',
     'VERDICT',
+    'VOTE',
     'WAIT_MS',
 )
 
@@ -31,6 +35,10 @@
 VERDICT: Final = b'X-Marjoram-Verdict'
 REASON: Final = b'X-Marjoram-Reason'
 IDEMPOTENCY_KEY: Final = b'Idempotency-Key'
+CLAIM: Final = b'X-Marjoram-Claim'
+RELEASE: Final = b'X-Marjoram-Release'
+HOLDER: Final = b'X-Marjoram-Holder'
+VOTE: Final = b'X-Marjoram-Vote'
 RETRY_AFTER: Final = b'Retry-After'
 HOP_BY_HOP: Final = frozenset(
     (
--- /dev/null
+++ b/marjoramlead/keepers.py
@@ -0,0 +1,192 @@
+"""Who remembers an idempotency key, and when a request may run under it.
+
+The keepers of a key are the first hosts of its service by rendezvous hashing
+over the host list, whether these take work or not. A request with a key runs
+only after a majority of the keepers has granted the key to it. Two
+majorities share a keeper, so a key is granted once, whatever is cut off.
+
+A keeper that may have forgotten the key does not vote: one that started less
+than the contract's key memory ago, or that was not a keeper of the key under
+each host list of that time. What it has recorded itself it knows all the same.
+"""
+
+from collections import OrderedDict
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Final, NamedTuple
+
+from xxhash import xxh3_64_intdigest
+
+__all__ = (
+    'KeyLedger',
+    'Tally',
+    'Vote',
+    'follow_hosts',
+    'keepers_of',
+    'release_key',
+    'tally',
+    'vote',
+)
+
+KEEPERS: Final = 3
+MAX_KEYS: Final = 100_000
+LONGEST_MEMORY_S: Final = 3600.0
+
+
+class Vote(StrEnum):
+    """What a keeper says to a claim."""
+
+    GRANTED = 'granted'
+    HELD = 'held'
+    UNKNOWN = 'unknown'
+
+
+class Tally(StrEnum):
+    """What the votes so far amount to."""
+
+    GRANTED = 'granted'
+    HELD = 'held'
+    LOST = 'lost'
+    OPEN = 'open'
+
+
+class EarlierHosts(NamedTuple):
+    """A list of the service's hosts that has been replaced."""
+
+    hosts: tuple[str, ...]
+    until: float
+
+
+@dataclass(slots=True)
+class KeyLedger:
+    """The keys that one host keeps.
+
+    Attributes
+    ----------
+    host
+        Its name.
+    started_at
+        When the process started, on the monotonic clock; it knows nothing
+        of what came before.
+    holders
+        By key: the request that it was granted to, and until when that is
+        remembered.
+    hosts
+        The service's hosts, as listed now.
+    earlier
+        Earlier lists, as far back as a key may be remembered.
+    """
+
+    host: str
+    started_at: float
+    holders: OrderedDict[str, tuple[str, float]] = field(
+        default_factory=OrderedDict,
+    )
+    hosts: tuple[str, ...] = ()
+    earlier: list[EarlierHosts] = field(default_factory=list)
+
+
+def keepers_of(hosts: Collection[str], key: str) -> list[str]:
+    """Name the hosts that remember a key."""
+    order = sorted(hosts, key=lambda host: -_score(host, key))
+    return order[:KEEPERS]
+
+
+def follow_hosts(
+    ledger: KeyLedger,
+    hosts: tuple[str, ...],
+    now: float,
+) -> None:
+    """Note a change of the list of the service's hosts."""
+    if hosts == ledger.hosts:
+        return
+    ledger.earlier.append(EarlierHosts(ledger.hosts, now))
+    ledger.hosts = hosts
+    ledger.earlier = [
+        each for each in ledger.earlier if each.until + LONGEST_MEMORY_S > now
+    ]
+
+
+def vote(
+    ledger: KeyLedger,
+    key: str,
+    holder: str,
+    now: float,
+    memory: float,
+) -> Vote:
+    """Answer a claim, and record it if the key is free.
+
+    Parameters
+    ----------
+    ledger
+        Of the keeper.
+    key
+        That is claimed.
+    holder
+        The request that claims it.
+    now
+        Seconds on the monotonic clock.
+    memory
+        Seconds for which the contract wants keys to be remembered.
+    """
+    _forget(ledger, now)
+    held = ledger.holders.get(key)
+    if held is not None and held[0] != holder:
+        return Vote.HELD
+    if held is None and len(ledger.holders) >= MAX_KEYS:
+        return Vote.UNKNOWN
+    ledger.holders[key] = (holder, now + memory)
+    ledger.holders.move_to_end(key)
+    return Vote.GRANTED if _knows(ledger, key, now, memory) else Vote.UNKNOWN
+
+
+def release_key(ledger: KeyLedger, key: str, holder: str) -> None:
+    """Free a key whose request has not run and never will."""
+    held = ledger.holders.get(key)
+    if held is not None and held[0] == holder:
+        ledger.holders.pop(key)
+
+
+def tally(votes: Sequence[Vote | None], keepers: int) -> Tally:
+    """Sum up the votes that have come in so far.
+
+    Parameters
+    ----------
+    votes
+        One for each keeper that answered; None for one that did not.
+    keepers
+        How many there are.
+    """
+    if Vote.HELD in votes:
+        return Tally.HELD
+    majority = keepers // 2 + 1
+    granted = votes.count(Vote.GRANTED)
+    if granted >= majority:
+        return Tally.GRANTED
+    left = keepers - len(votes)
+    return Tally.OPEN if granted + left >= majority else Tally.LOST
+
+
+def _knows(ledger: KeyLedger, key: str, now: float, memory: float) -> bool:
+    if now - ledger.started_at < memory:
+        return False
+    recent = [
+        each.hosts for each in ledger.earlier if each.until + memory > now
+    ]
+    return all(
+        ledger.host in keepers_of(listed, key)
+        for listed in (*recent, ledger.hosts)
+    )
+
+
+def _forget(ledger: KeyLedger, now: float) -> None:
+    while ledger.holders:
+        oldest = next(iter(ledger.holders))
+        if ledger.holders[oldest][1] > now:
+            return
+        ledger.holders.pop(oldest)
+
+
+def _score(host: str, key: str) -> int:
+    return xxh3_64_intdigest(f'{key}/{host}'.encode())
--- a/marjoramlead/load_watch.py
+++ b/marjoramlead/load_watch.py
@@ -11,7 +11,7 @@
 
 from marjoramlead.admission import restart_cold
 from marjoramlead.errors import Fault
-from marjoramlead.guard import Guard
+from marjoramlead.guard import Guard, follow_service
 from marjoramlead.http_client import fetch
 from marjoramlead.logs import guard_log
 
@@ -67,6 +67,7 @@
 
 async def _ask(watch: LoadWatch) -> None:
     guard = watch.guard
+    follow_service(guard)
     own = guard.target
     base = f'http://{own["address"]}:{own["port"]}'
     fetched = await fetch(
--- a/marjoramlead/picking.py
+++ b/marjoramlead/picking.py
@@ -10,15 +10,12 @@
 from random import Random
 from typing import Final
 
-from xxhash import xxh3_64_intdigest
-
 from marjoramlead.snapshot import Snapshot, Target
 
 __all__ = (
     'TargetState',
     'TargetStates',
     'on_outcome',
-    'owner_of',
     'pick',
     'preferred',
     'usable_targets',
@@ -115,15 +112,6 @@
     return near or untried
 
 
-def owner_of(candidates: Sequence[Target], key: str) -> Target | None:
-    """Return the one target that runs requests with this key."""
-    return max(
-        candidates,
-        key=lambda each: xxh3_64_intdigest(f'{key}/{each.host}'.encode()),
-        default=None,
-    )
-
-
 def on_outcome(state: TargetState, now: float, *, reachable: bool) -> None:
     """Eject a target that could not be reached, readmit one that could."""
     state.ejected_until = 0 if reachable else now + EJECT_S
--- a/marjoramlead/snapshot.py
+++ b/marjoramlead/snapshot.py
@@ -48,10 +48,19 @@
 
 
 class Contract(NamedTuple):
-    """One customer's contract, compiled; routes are longest path first."""
+    """One customer's contract, compiled.
+
+    Attributes
+    ----------
+    key_memory
+        Seconds for which an idempotency key is known again.
+    routes
+        Longest path first.
+    """
 
     customer: str
     retry_share: float
+    key_memory: float
     services: Mapping[str, ServiceTerms]
     routes: tuple[Route, ...]
 
@@ -150,6 +159,7 @@
     return Contract(
         customer=document['customer'],
         retry_share=document['retry_share'],
+        key_memory=document['key_memory_ms'] / SECOND_MS,
         services={terms['service']: terms for terms in document['services']},
         routes=tuple(routes),
     )
--- a/marjoramlead/verdict.py
+++ b/marjoramlead/verdict.py
@@ -17,13 +17,13 @@
 class Reason(StrEnum):
     """Why a call was refused, failed or tried again."""
 
-    BARRED = 'barred'
     BODY_CUT = 'body_cut'
     CONNECT_FAILED = 'connect_failed'
     DATA_CENTRE_OUT = 'data_centre_out'
     DEADLINE = 'deadline'
     DRAINING = 'draining'
     DUPLICATE = 'duplicate'
+    KEY_UNKNOWN = 'key_unknown'
     NO_CONTRACT = 'no_contract'
     NO_ROUTE = 'no_route'
     NO_TARGET = 'no_target'
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,7 @@
 
 import os
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 
 settings.register_profile(
     'ci',
@@ -21,4 +21,9 @@
     stateful_step_count=80,
     print_blob=True,
 )
+settings.register_profile(
+    'mutants',
+    parent=settings.get_profile('ci'),
+    phases=[Phase.explicit, Phase.generate],
+)
 settings.load_profile(os.environ.get('HYPOTHESIS_PROFILE', 'ci'))
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -15,9 +15,10 @@
 from marjoramlead.calls import Place
 from marjoramlead.counters import Counters
 from marjoramlead.gateway import Gateway, handle_call
-from marjoramlead.guard import Guard
+from marjoramlead.guard import Guard, follow_service
 from marjoramlead.guarding import handle_work
 from marjoramlead.http_server import make_site
+from marjoramlead.keepers import KeyLedger
 from marjoramlead.load_watch import LoadWatch, note_report
 from marjoramlead.picking import TargetStates
 from marjoramlead.versions import VersionStore, make_version, offer
@@ -29,6 +30,7 @@
 SERVICE = 'moulds'
 GATEWAY, GUARD, TARGET = 1000, 2000, 3000
 WORK_MS = 50
+MEMORY_MS = 60_000
 
 
 class Ended(NamedTuple):
@@ -76,6 +78,7 @@
         for node in range(nodes):
             self.start_target(node)
             self.start_node(node)
+        self.net.clock.advance(MEMORY_MS / 1000)
 
     def publish(self, name: str, text: str) -> None:
         """Put a document in force on all nodes."""
@@ -86,6 +89,7 @@
         """Put the contract in force with other terms for the service."""
         self.terms.update(terms)
         document = contract()
+        document['key_memory_ms'] = MEMORY_MS
         for each in document['services']:
             each.update(self.terms)
         text = msgspec.json.encode(document).decode()
@@ -144,6 +148,7 @@
         for port in (GATEWAY + node, GUARD + node):
             self.net.reset(port)
         guard = Guard(
+            f'h-{node}',
             self.data_centre(node),
             {
                 'customer': 'tamworth',
@@ -154,8 +159,10 @@
             },
             lambda: self.store.snapshot,
             self.net.agent(),
+            self.net.agent(),
             self.net.clock,
             self.counters[node],
+            KeyLedger(f'h-{node}', self.net.clock.seconds()),
         )
         place = Place(
             self.data_centre(node),
@@ -172,6 +179,7 @@
         self.gateways[node] = gateway
         self.guards[node] = guard
         self.watches[node] = LoadWatch(guard)
+        follow_service(guard)
         self.net.sites[GUARD + node] = make_site(
             lambda req: handle_work(guard, req),
             self.net.clock,
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -147,6 +147,10 @@
     def restart_target(self, at):
         self.take('restart_target', at)
 
+    @rule(at=node)
+    def restart_node(self, at):
+        self.take('restart_node', at)
+
     @rule(at=node)
     def report(self, at):
         self.take('report', at)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import os
 import shutil
 import subprocess
 import sys
@@ -13,6 +14,7 @@
 from typing import TypedDict, cast
 
 ROOT = Path(__file__).resolve().parent.parent
+TESTS_FAILED = 1
 PARTS = ('marjoramlead', 'standins', 'tests', 'examples', 'pyproject.toml')
 
 
@@ -52,15 +54,15 @@
         if text.count(mutant['before']) != 1:
             return 'STALE'
         path.write_text(text.replace(mutant['before'], mutant['after']))
-        argv = [sys.executable, '-m', 'pytest', '-x', '-q', *mutant['tests']]
+        argv = [sys.executable, '-m', 'pytest', '-x', *mutant['tests']]
         ended = subprocess.run(
             argv,
             cwd=folder,
             check=False,
             capture_output=True,
-            text=True,
+            env={**os.environ, 'HYPOTHESIS_PROFILE': 'mutants'},
         )
-    return 'caught' if ' failed' in ended.stdout else 'MISSED'
+    return 'caught' if ended.returncode == TESTS_FAILED else 'MISSED'
 
 
 def main() -> int:
