--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check format generate search clean
+.PHONY: demo test check format generate mutants search clean
 
 demo: $(VENV)/ready
 	$(BIN)/python -m demo
@@ -27,6 +27,13 @@
 generate: $(VENV)/ready
 	$(BIN)/python tools/generate.py
 
+mutants: $(VENV)/ready
+	$(BIN)/python tools/mutants.py
+
+search: $(VENV)/ready
+	mkdir -p found
+	HYPOTHESIS_PROFILE=search $(BIN)/python -m pytest tests/test_agent.py tests/test_keepers.py tests/test_mesh.py
+
 $(VENV)/ready: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -e '.[dev]'
--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import signal
 import statistics
 import sys
 import tempfile
@@ -49,6 +50,7 @@
 
     way: str
     nodes: int
+    frozen: int
     contracts: int
     changes: int
     median_s: float
@@ -103,7 +105,13 @@
         start(fleet, f'node-{member.host}', argv)
 
 
-def measure(way: str, nodes: int, contracts: int, changes: int) -> Result:
+def measure(
+    way: str,
+    nodes: int,
+    frozen: int,
+    contracts: int,
+    changes: int,
+) -> Result:
     """Run one way at one size."""
     with (
         tempfile.TemporaryDirectory() as folder,
@@ -112,8 +120,12 @@
         publish_first(fleet, contracts)
         wait_for(fleet, f'contracts/c-{contracts - 1}')
         idle = spent(fleet, IDLE_S)
+        members = fleet.members
+        halted = members[:: nodes // frozen][:frozen] if frozen else []
         before = sample(fleet)
-        delays = run_changes(fleet, changes)
+        with paused(fleet, halted):
+            awake = [each for each in members if each not in halted]
+            delays = run_changes(fleet, awake, changes)
         after = sample(fleet)
     idle_cost = scaled(idle, after.at - before.at)
     change_cost = minus(minus(after, before), idle_cost)
@@ -121,6 +133,7 @@
     return {
         'way': way,
         'nodes': nodes,
+        'frozen': frozen,
         'contracts': contracts,
         'changes': changes,
         'median_s': round(statistics.median(met), 3),
@@ -175,7 +188,11 @@
     return named.replace('"queue": 20', f'"queue": {queue}')
 
 
-def run_changes(fleet: Fleet, changes: int) -> list[float | None]:
+def run_changes(
+    fleet: Fleet,
+    members: Sequence[Member],
+    changes: int,
+) -> list[float | None]:
     """Publish changes of one contract and collect each node's delays.
 
     Returns
@@ -186,7 +203,7 @@
     publisher = f'http://{ADDRESS}:{fleet.source}'
     name = 'contracts/c-0'
     delays: list[float | None] = []
-    revision = document_revision(fleet, name)
+    revision = document_revision(members[0], name)
     for change in range(changes):
         began = time.monotonic()
         text = contract_text('c-0', 100 + change)
@@ -195,8 +212,7 @@
         if change % 4 == 3 or change == changes - 1:
             time.sleep(SETTLE_S - GAP_S)
             delays.extend(
-                delay_at(member, name, revision, began)
-                for member in fleet.members
+                delay_at(member, name, revision, began) for member in members
             )
     return delays
 
@@ -216,9 +232,9 @@
     return None
 
 
-def document_revision(fleet: Fleet, name: str) -> int:
+def document_revision(member: Member, name: str) -> int:
     """Ask one node for the revision that it has in force."""
-    documents = status_of(fleet.members[0])['documents']
+    documents = status_of(member)['documents']
     return max(each['revision'] for each in documents if each['name'] == name)
 
 
@@ -227,6 +243,19 @@
     return fetch_status(f'{ADDRESS}:{member.admin}')
 
 
+@contextmanager
+def paused(fleet: Fleet, members: Sequence[Member]) -> Iterator[None]:
+    """Freeze nodes for a while."""
+    processes = [fleet.processes[f'node-{each.host}'] for each in members]
+    for process in processes:
+        process.send_signal(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        for process in processes:
+            process.send_signal(signal.SIGCONT)
+
+
 def wait_for(fleet: Fleet, name: str) -> None:
     """Wait until a document is in force on all nodes."""
     deadline = time.monotonic() + UP_LIMIT_S
@@ -299,6 +328,7 @@
     *,
     ways: Sequence[str] = ('poll', 'pull', 'tree', 'gossip'),
     nodes: Sequence[int] = (8, 24),
+    frozen: int = 0,
     contracts: int = 4,
     changes: int = 8,
     as_json: Annotated[bool, Parameter(name='--json')] = False,
@@ -311,6 +341,8 @@
         Of passing versions on; see ``bench/variant.py``.
     nodes
         Fleet sizes, multiples of 4.
+    frozen
+        Nodes that are frozen while changes are published.
     contracts
         Contracts in force.
     changes
@@ -321,7 +353,7 @@
     results: list[Result] = []
     for size in nodes:
         for way in ways:
-            results.append(measure(way, size, contracts, changes))
+            results.append(measure(way, size, frozen, contracts, changes))
             sys.stdout.write(f'{results[-1]}\n')
             sys.stdout.flush()
     if as_json:
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -5,13 +5,11 @@
 """
 
 import json
-import signal
 import sys
 import tempfile
 import time
 import urllib.request
-from collections.abc import Callable, Iterator, Sequence
-from contextlib import contextmanager
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Annotated, TypedDict
 
@@ -20,6 +18,7 @@
 from bench.convergence import (
     contract_text,
     fleet_of,
+    paused,
     publish_first,
     wait_for,
 )
@@ -171,19 +170,6 @@
     return follow('readers thawed', fleet.members, fleet, revision)
 
 
-@contextmanager
-def paused(fleet: Fleet, members: Sequence[Member]) -> Iterator[None]:
-    """Freeze nodes for a while."""
-    processes = [fleet.processes[f'node-{each.host}'] for each in members]
-    for process in processes:
-        process.send_signal(signal.SIGSTOP)
-    try:
-        yield
-    finally:
-        for process in processes:
-            process.send_signal(signal.SIGCONT)
-
-
 def is_reader(fleet: Fleet, member: Member) -> bool:
     """Whether a node is among the first two of its data centre."""
     hosts = [
--- a/marjoramlead/agent.py
+++ b/marjoramlead/agent.py
@@ -18,7 +18,7 @@
     frame_heads,
     frame_refusals,
     merge_frame,
-    wanted_names,
+    wanted_heads,
 )
 from marjoramlead.generated.frame_types import Frame
 from marjoramlead.peers import (
@@ -58,6 +58,8 @@
 PULL_PERIOD_S: Final = 1.0
 JITTER: Final = 0.2
 MAX_LEARNED: Final = 64
+MAX_ASKED: Final = 256
+ASK_LIMIT_S: Final = 0.5
 NEVER_SEEN_AGE_S: Final = 1e6
 
 
@@ -111,6 +113,8 @@
         Ticks without a host list since the start or the last failed read.
     in_force_since
         When each document's present version was put in force here.
+    asked_until
+        By name and revision: until when a peer that was asked may send it.
     """
 
     identity: Identity
@@ -127,6 +131,7 @@
     next_pull_at: float = 0
     quiet_ticks: int = 0
     in_force_since: dict[str, float] = field(default_factory=dict)
+    asked_until: dict[tuple[str, int], float] = field(default_factory=dict)
 
 
 def source_age(agent: Agent, now: float) -> float:
@@ -202,7 +207,7 @@
     """
     merge = _merge(agent, frame, now)
     reply = bare_frame(agent.identity, agent.store, source_age(agent, now))
-    reply['wants'] = wanted_names(agent.store, frame)
+    reply['wants'] = _ask_once(agent, frame, now)
     reply['documents'] = documents_for(agent.store, frame['wants'])
     fill_missing(reply, agent.store, frame)
     return reply, _tell(agent, merge.applied, merge.refusals, now)
@@ -275,6 +280,23 @@
     return merge
 
 
+def _ask_once(agent: Agent, frame: Frame, now: float) -> list[str]:
+    """Want what is announced, unless a peer is sending it already."""
+    wants: list[str] = []
+    for head in wanted_heads(agent.store, frame):
+        asked = (head['name'], head['revision'])
+        if agent.asked_until.get(asked, 0) <= now:
+            agent.asked_until[asked] = now + ASK_LIMIT_S
+            wants.append(head['name'])
+    if len(agent.asked_until) > MAX_ASKED:
+        agent.asked_until = {
+            asked: until
+            for asked, until in agent.asked_until.items()
+            if until > now
+        }
+    return wants
+
+
 def _learn(agent: Agent, address: str, now: float) -> None:
     if address == agent.identity.control:
         return
@@ -293,7 +315,7 @@
     if reply['root'] == agent.store.root:
         return None
     frame = _own_frame(agent, now)
-    frame['wants'] = wanted_names(agent.store, reply)
+    frame['wants'] = _ask_once(agent, reply, now)
     frame['documents'] = documents_for(agent.store, reply['wants'])
     if frame['wants'] or frame['documents']:
         return frame
--- a/marjoramlead/frames.py
+++ b/marjoramlead/frames.py
@@ -29,7 +29,7 @@
     'frame_heads',
     'frame_refusals',
     'merge_frame',
-    'wanted_names',
+    'wanted_heads',
 )
 
 MAX_DOCUMENTS_BYTES: Final = 512_000
@@ -114,9 +114,9 @@
     frame['refusals'] = frame_refusals(refusals_after(store, known))
 
 
-def wanted_names(store: VersionStore, frame: Frame) -> list[str]:
-    """List the announced documents that are newer than those held."""
-    return [head['name'] for head in frame['heads'] if _is_wanted(store, head)]
+def wanted_heads(store: VersionStore, frame: Frame) -> list[FrameHead]:
+    """List the announced versions that are newer than those held."""
+    return [head for head in frame['heads'] if _is_wanted(store, head)]
 
 
 def documents_for(
--- a/marjoramlead/http_client.py
+++ b/marjoramlead/http_client.py
@@ -4,15 +4,22 @@
 from typing import Final, NamedTuple, Protocol, cast
 
 from expression import Error, Ok, Result
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.error import (
     ConnectError,
     ConnectingCancelledError,
     DNSLookupError,
 )
+from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.internet.protocol import Protocol as BodyProtocol
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.client import URI, Agent, HTTPConnectionPool, readBody
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IBodyProducer, IResponse
+from twisted.web.iweb import (
+    IAgentEndpointFactory,
+    IBodyProducer,
+    IResponse,
+)
+from zope.interface import implementer
 
 from marjoramlead.bodies import RequestBody
 from marjoramlead.clock import Clock
@@ -61,6 +68,21 @@
     deadline: float
 
 
+@implementer(IAgentEndpointFactory)
+class _IpEndpoints:
+    """Connects to IP numbers, without the work that host names need."""
+
+    def __init__(self, reactor: Clock) -> None:
+        self._reactor = reactor
+
+    def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:
+        """Return what connects to an address."""
+        address = uri.host.decode('ascii').strip('[]')
+        kind = TCP6ClientEndpoint if ':' in address else TCP4ClientEndpoint
+        endpoint = kind(self._reactor, address, uri.port, CONNECT_LIMIT_S)
+        return cast(IStreamClientEndpoint, endpoint)
+
+
 def make_agent(reactor: Clock, connections: int) -> Agent:
     """Build a client that keeps up to so many idle connections a peer.
 
@@ -71,7 +93,7 @@
     pool.maxPersistentPerHost = connections
     pool.cachedConnectionTimeout = IDLE_LIMIT_S
     pool.retryAutomatically = False
-    return Agent(reactor, connectTimeout=CONNECT_LIMIT_S, pool=pool)
+    return Agent.usingEndpointFactory(reactor, _IpEndpoints(reactor), pool)
 
 
 async def send_request(
--- a/marjoramlead/versions.py
+++ b/marjoramlead/versions.py
@@ -146,17 +146,14 @@
     -------
     The versions by which documents were withdrawn.
     """
-    held: list[Version | RefusedVersion] = [
-        version for version in store.in_force.values() if version.text
-    ]
-    held.extend(store.refused.values())
-    older = {each.name for each in held if each.revision < revision}
-    withdrawn = [
-        make_version(name, revision, '') for name in sorted(older - names)
+    live = {each.name for each in store.in_force.values() if each.text}
+    absent = (live | set(store.refused)) - names
+    withdrawn = [make_version(name, revision, '') for name in sorted(absent)]
+    return [
+        version
+        for version in withdrawn
+        if offer(store, version) is Outcome.APPLIED
     ]
-    for version in withdrawn:
-        offer(store, version)
-    return withdrawn
 
 
 def heads_after(store: VersionStore, revision: int) -> list[Version]:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -5,6 +5,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
+from marjoramlead.agent import on_listing
+from marjoramlead.versions import offer
 from tests.world import NAMES, NODES, World
 
 TRACES = Path(__file__).resolve().parent / 'traces'
@@ -96,6 +98,71 @@
 TestAgents = AgentMachine.TestCase
 
 
+def held_by(world, number):
+    return world.agents[number].store.in_force
+
+
+def test_peers_suffice_while_the_source_is_down():
+    world = World()
+    for name in NAMES:
+        world.do_publish(name, True)
+    world.settle()
+    for number in range(1, NODES):
+        world.do_restart(number)
+    world.settle('down')
+    for number in range(1, NODES):
+        assert held_by(world, number) == held_by(world, 0)
+
+
+def test_version_before_a_bad_one_comes_from_peers():
+    world = World()
+    world.do_publish('contracts/tamworth', True)
+    world.settle()
+    world.do_publish('contracts/tamworth', False)
+    world.settle()
+    world.do_restart(3)
+    world.settle('down')
+    assert held_by(world, 3)['contracts/tamworth'].revision == 1
+    refused = world.agents[3].store.refused
+    assert refused['contracts/tamworth'].revision == 2
+
+
+def test_gap_below_the_newest_revision_is_filled():
+    world = World()
+    for name in NAMES:
+        world.do_publish(name, True)
+    world.settle()
+    newest = max(held_by(world, 0).values(), key=lambda each: each.revision)
+    world.do_restart(1)
+    offer(world.agents[1].store, newest)
+    world.settle('down')
+    assert held_by(world, 1) == held_by(world, 0)
+
+
+def test_late_listing_withdraws_nothing_newer():
+    world = World()
+    late = world.listing(0)
+    world.do_publish('contracts/tamworth', True)
+    world.settle()
+    on_listing(world.agents[2], late, world.now)
+    assert held_by(world, 2)['contracts/tamworth'].text
+
+
+def test_paused_node_does_not_go_back():
+    world = World()
+    world.do_publish('contracts/tamworth', True)
+    world.do_tick(0, 0.25)
+    early = list(world.pending)
+    world.settle()
+    world.do_publish('contracts/tamworth', True)
+    world.settle()
+    world.pending = early
+    while world.pending:
+        world.do_deliver(0)
+    world.check()
+    assert held_by(world, 0)['contracts/tamworth'].revision == 2
+
+
 @pytest.mark.parametrize('path', sorted(TRACES.glob('agent-*.json')), ids=str)
 def test_recorded_trace(path):
     trace = json.loads(path.read_text())
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -31,7 +31,7 @@
         super().__init__()
         self.now = MEMORY_S * 2
         self.listed = ALL[:LISTED]
-        self.changed_at = 0.0
+        self.changed_at = 0
         self.ledgers = {}
         self.granted = {}
         self.count = 0
--- a/tests/world.py
+++ b/tests/world.py
@@ -118,10 +118,10 @@
         if mode == 'stale':
             self.stale = (self.revision, dict(self.documents))
 
-    def settle(self) -> None:
+    def settle(self, mode: str = 'well') -> None:
         """Heal all, and let as much time pass as the brief allows."""
         self.cuts.clear()
-        self.mode = 'well'
+        self.mode = mode
         self.pending.clear()
         for agent in self.agents:
             if agent.is_reading:
