--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,74 @@
+import json
+
+import jsonc
+import pytest
+
+from marjoramlead.counters import Counters
+from marjoramlead.daemon_cli import EXIT_BAD_SETTINGS, run
+from marjoramlead.errors import SettingsError
+from marjoramlead.settings import load_settings
+from tests.samples import EXAMPLES
+
+EXAMPLE = EXAMPLES / 'node.json'
+
+
+def changed(tmp_path, **changes):
+    settings = jsonc.loads(EXAMPLE.read_text()) | changes
+    path = tmp_path / 'node.json'
+    path.write_text(json.dumps(settings))
+    return path
+
+
+def test_example_is_sound():
+    assert load_settings(EXAMPLE)['host'] == 'akl-a-01'
+    assert run(settings=EXAMPLE, check=True) == 0
+
+
+@pytest.mark.parametrize(
+    ('changes', 'says'),
+    [
+        ({'colour': 'red'}, 'colour'),
+        ({'expected_hosts': 0}, 'expected_hosts'),
+        ({'expected_hosts': 'many'}, 'expected_hosts'),
+        ({'key': 'short'}, 'key'),
+        (
+            {'ports': {'gateway': 1, 'guard': 1, 'control': 2, 'admin': 3}},
+            'ports',
+        ),
+        ({'ports': {'gateway': 1}}, 'ports'),
+        ({'seeds': ['somewhere']}, r'seeds\[0\]'),
+    ],
+)
+def test_bad_settings_name_file_path_and_reason(tmp_path, changes, says):
+    path = changed(tmp_path, **changes)
+    with pytest.raises(SettingsError, match=says) as caught:
+        load_settings(path)
+    assert str(path) in str(caught.value)
+
+
+def test_daemon_does_not_start_on_bad_settings(tmp_path, capsys):
+    path = changed(tmp_path, key='short')
+    assert run(settings=path) == EXIT_BAD_SETTINGS
+    assert str(path) in capsys.readouterr().err
+
+
+def test_file_that_is_missing_or_no_text_is_named(tmp_path):
+    path = tmp_path / 'node.json'
+    with pytest.raises(SettingsError, match='cannot be read'):
+        load_settings(path)
+    path.write_bytes(b'\xff\xfe')
+    with pytest.raises(SettingsError, match='UTF-8'):
+        load_settings(path)
+
+
+def test_counters_reach_statsd_where_one_is_set():
+    sent = []
+
+    class Statsd:
+        def incr(self, stat, count=1):
+            sent.append((stat, count))
+
+    counters = Counters(Statsd())
+    counters.add('refused.overload')
+    assert sent == [('refused.overload', 1)]
+    assert counters.by_name() == {'refused.overload': 1}
