--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,14 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check format generate mutants search clean
+.PHONY: demo fleet test check format generate mutants search clean
 
 demo: $(VENV)/ready
 	$(BIN)/python -m demo
 
+fleet: $(VENV)/ready
+	$(BIN)/python -m demo --stay
+
 test: $(VENV)/ready
 	$(BIN)/python tools/run_tests.py
 
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,6 +1,10 @@
-"""Run the demonstration; exit 0 only if every stated outcome held."""
+"""Run the demonstration; exit 0 only if every stated outcome held.
+
+With ``--stay`` the fleet runs on for operators to try the commands.
+"""
 
 import json
+import signal
 import subprocess
 import sys
 import tempfile
@@ -9,6 +13,7 @@
 import urllib.request
 from collections import Counter
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from pathlib import Path
 from typing import NamedTuple
 
@@ -312,8 +317,35 @@
         return list(fleet.processes.values())
 
 
+def stay(account: Account) -> None:
+    """Keep a fleet with both contracts running until it is interrupted."""
+    members = lay_out(DATA_CENTRES, SERVICES)
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        running_fleet(Path(folder), members) as fleet,
+    ):
+        nodes = [f'{ADDRESS}:{member.admin}' for member in members]
+        wait_until(lambda: all(map(fetch_status, nodes)))
+        publish_all(fleet, account)
+        sys.stdout.write(f'publisher  http://{ADDRESS}:{fleet.source}\n')
+        for member in members:
+            sys.stdout.write(
+                f'{member.host:20} admin {ADDRESS}:{member.admin}  '
+                f'callers http://{ADDRESS}:{member.gateway}\n',
+            )
+        sys.stdout.write('Stop with Ctrl-C.\n')
+        sys.stdout.flush()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            signal.signal(number, signal.default_int_handler)
+        with suppress(KeyboardInterrupt):
+            signal.pause()
+
+
 def main() -> int:
     """Run the fleet, and sum up."""
+    if '--stay' in sys.argv:
+        stay(Account())
+        return 0
     account = Account()
     processes = run_fleet(account)
     alive = sum(process.poll() is None for process in processes)
--- a/marjoramlead/cli.py
+++ b/marjoramlead/cli.py
@@ -3,7 +3,7 @@
 import json
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import wraps
 from importlib.metadata import version
 from pathlib import Path
@@ -17,15 +17,23 @@
     NodeError,
     PublishError,
 )
-from marjoramlead.node_client import fetch_status
+from marjoramlead.node_client import fetch_refusal, fetch_status
 from marjoramlead.porcelain import (
     Progress,
+    changes_of,
     check_contract,
+    contract_in_force,
     set_out,
     submit,
     wait_in_force,
 )
-from marjoramlead.rendering import progress_line, status_lines
+from marjoramlead.rendering import (
+    contract_lines,
+    progress_line,
+    refusal_lines,
+    status_lines,
+)
+from marjoramlead.verdict import Reason
 
 __all__ = ('app', 'main')
 
@@ -195,7 +203,78 @@
     if as_json:
         sys.stdout.write(f'{json.dumps(found, indent=2)}\n')
         return 0
-    for line in status_lines(found):
+    return _print_lines(status_lines(found))
+
+
+@app.command
+@_reporting
+def show(
+    customer: str,
+    *,
+    node: str = DEFAULT_NODE,
+    as_json: Annotated[bool, Parameter(name='--json')] = False,
+) -> int:
+    """Show what is in force for a customer, in words and limits.
+
+    Parameters
+    ----------
+    customer
+        Whose contract.
+    node
+        Address and port of a node's admin port.
+    as_json
+        Print it for scripts.
+    """
+    contract = contract_in_force(node, customer)
+    if as_json:
+        sys.stdout.write(f'{json.dumps(contract, indent=2)}\n')
+        return 0
+    return _print_lines(contract_lines(contract))
+
+
+@app.command
+@_reporting
+def diff(contract: Path, *, node: str = DEFAULT_NODE) -> int:
+    """Show what a contract would change against what is in force.
+
+    Parameters
+    ----------
+    contract
+        Contract file, JSON with comments.
+    node
+        Address and port of a node's admin port.
+    """
+    return _print_lines(changes_of(node, check_contract(contract)))
+
+
+@app.command
+@_reporting
+def explain(what: str, *, node: str = DEFAULT_NODE) -> int:
+    """Explain a refusal, by its reason, its counter or its request id.
+
+    Parameters
+    ----------
+    what
+        Such as ``overload``, ``guard.refused.overload`` or a request id.
+    node
+        Admin port of the node that refused the call, for a request id.
+    """
+    name = what.rpartition('.')[2]
+    if name in set(Reason):
+        return _print_lines(refusal_lines(Reason(name)))
+    refused = fetch_refusal(node, what)
+    if refused is None:
+        raise NodeError(
+            f'{what} is no reason, and node {node} refused no such call of '
+            'late; ask the node that the call was made at',
+        )
+    tried = ', '.join(refused['tried']) or 'no host'
+    sys.stdout.write(f'{what}: {refused["verdict"]}; tried {tried}\n')
+    return _print_lines(refusal_lines(Reason(refused['reason'])))
+
+
+def _print_lines(lines: Iterable[str]) -> int:
+    for line in lines:
         sys.stdout.write(f'{line}\n')
     return 0
 
--- a/marjoramlead/daemon.py
+++ b/marjoramlead/daemon.py
@@ -8,6 +8,7 @@
 from statsd import StatsClient
 from twisted.internet.task import LoopingCall
 
+from marjoramlead.admin import handle_admin
 from marjoramlead.agent import Agent
 from marjoramlead.attempts import start_attempts
 from marjoramlead.calls import Place
@@ -30,7 +31,7 @@
 from marjoramlead.logs import daemon_log
 from marjoramlead.peers import Identity
 from marjoramlead.picking import TargetStates
-from marjoramlead.problems import json_answer
+from marjoramlead.reports import NodeStatus
 from marjoramlead.snapshot import Snapshot
 from marjoramlead.status import node_status
 
@@ -109,7 +110,7 @@
             start_attempts,
             req,
         ),
-        ports['admin']: lambda req: _answer_status(node, req),
+        ports['admin']: lambda req: _answer_admin(node, req),
     }
     for port, handler in handlers.items():
         site = make_site(handler, node.reactor)
@@ -161,18 +162,18 @@
     return node.guard.admission.terms['drain_limit_ms'] / SECOND_MS
 
 
-def _answer_status(node: Node, req: StreamRequest) -> None:
-    if req.uri != b'/status':
-        req.answer(json_answer(404, {'error': 'ask for /status'}))
-        return
-    status = node_status(
-        node.agent,
-        node.gateway,
-        node.guard,
-        node.driver.port.bytes_sent,
-        node.reactor.seconds(),
-    )
-    req.answer(json_answer(200, status))
+def _answer_admin(node: Node, req: StreamRequest) -> None:
+    def status() -> NodeStatus:
+        return node_status(
+            node.agent,
+            node.gateway,
+            node.guard,
+            node.driver.port.bytes_sent,
+            node.reactor.seconds(),
+        )
+
+    refused = node.gateway.refused.by_id
+    handle_admin(req, status, node.agent.store, refused.get)
 
 
 def _identity_of(settings: SettingsDocument) -> Identity:
--- a/marjoramlead/gateway.py
+++ b/marjoramlead/gateway.py
@@ -1,7 +1,7 @@
 """Take calls from callers, find their contract, and see to an answer."""
 
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -16,6 +16,7 @@
 from marjoramlead.http_server import StreamRequest
 from marjoramlead.logs import gateway_log
 from marjoramlead.problems import refusal_answer
+from marjoramlead.refusals import RecentRefusals, note_refused
 from marjoramlead.retries import RetryBudget
 from marjoramlead.snapshot import Snapshot
 from marjoramlead.verdict import Reason, Refusal, Verdict
@@ -39,6 +40,8 @@
         Calls that have no final answer yet.
     budgets
         Retries left, by customer.
+    refused
+        Calls that were refused of late.
     """
 
     place: Place
@@ -49,6 +52,7 @@
     in_flight: int = 0
     is_draining: bool = False
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    refused: RecentRefusals = field(default_factory=RecentRefusals)
 
 
 Served = Deferred[Refusal | None]
@@ -81,8 +85,8 @@
     served = attempts(gateway, call, req)
     req.notifyFinish().addErrback(_cancel(served))
     served.addCallbacks(
-        lambda refusal: _end(gateway, req, refusal, request_id),
-        lambda failure: _on_failure(gateway, req, failure, request_id),
+        lambda refusal: _end(gateway, req, refusal, call),
+        lambda failure: _on_failure(gateway, req, failure, call),
     )
 
 
@@ -127,20 +131,20 @@
     gateway: Gateway,
     req: StreamRequest,
     refusal: Refusal | None,
-    request_id: str,
+    call: Call,
 ) -> None:
     gateway.in_flight -= 1
     if refusal is None:
         gateway.counters.add('answered')
     else:
-        _refuse(gateway, req, refusal, request_id)
+        _refuse(gateway, req, refusal, call.request_id, call.tried)
 
 
 def _on_failure(
     gateway: Gateway,
     req: StreamRequest,
     failure: Failure,
-    request_id: str,
+    call: Call,
 ) -> None:
     gateway.in_flight -= 1
     if failure.check(CancelledError):
@@ -148,7 +152,7 @@
         return
     gateway_log.error('Call failed inside: %s', failure.getTraceback())
     refusal = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN)
-    _refuse(gateway, req, refusal, request_id)
+    _refuse(gateway, req, refusal, call.request_id, call.tried)
 
 
 def _refuse(
@@ -156,7 +160,9 @@
     req: StreamRequest,
     refusal: Refusal,
     request_id: str,
+    tried: Sequence[str] = (),
 ) -> None:
+    note_refused(gateway.refused, request_id, refusal, tried)
     gateway.counters.add(f'refused.{refusal.reason}')
     gateway_log.debug('Refused %s: %s', request_id, refusal.reason)
     req.answer(refusal_answer(refusal, request_id))
--- a/marjoramlead/guard.py
+++ b/marjoramlead/guard.py
@@ -199,6 +199,9 @@
 
 
 def follow_service(guard: Guard) -> None:
-    """Let the key ledger follow the host list in force."""
+    """Follow the contract and the host list in force."""
+    guard.admission.terms = _terms_of(guard.snapshot_of(), guard.target) or (
+        guard.admission.terms
+    )
     hosts = tuple(sorted(each.host for each in service_hosts(guard)))
     follow_hosts(guard.ledger, hosts, guard.reactor.seconds())
--- a/marjoramlead/node_client.py
+++ b/marjoramlead/node_client.py
@@ -7,9 +7,16 @@
 from typing import Final, TypedDict, cast
 
 from marjoramlead.errors import NodeError, PublishError
-from marjoramlead.reports import NodeStatus
+from marjoramlead.reports import DocumentText, NodeStatus, RefusedCall
 
-__all__ = ('Published', 'fetch_status', 'publish', 'published')
+__all__ = (
+    'Published',
+    'fetch_document',
+    'fetch_refusal',
+    'fetch_status',
+    'publish',
+    'published',
+)
 
 LIMIT_S: Final = 5.0
 
@@ -41,6 +48,31 @@
         raise NodeError(f'node {node} gave no answer: {exc}') from exc
 
 
+def fetch_document(node: str, name: str) -> DocumentText | None:
+    """Read a document as it is in force on a node; None if it is not.
+
+    Raises
+    ------
+    NodeError
+        If the node does not answer.
+    """
+    return cast(
+        DocumentText | None,
+        _find(node, f'documents/{name}'),
+    )
+
+
+def fetch_refusal(node: str, request_id: str) -> RefusedCall | None:
+    """Ask a node why it refused a call; None if it does not know of it.
+
+    Raises
+    ------
+    NodeError
+        If the node does not answer.
+    """
+    return cast(RefusedCall | None, _find(node, f'refusals/{request_id}'))
+
+
 def published(publisher: str, name: str) -> Published:
     """Read a document from the place that operators publish to.
 
@@ -90,6 +122,15 @@
     return int(cast(Published, answer)['revision'])
 
 
+def _find(node: str, path: str) -> object:
+    try:
+        return _call(f'http://{node}/{path}')
+    except urllib.error.HTTPError:
+        return None
+    except (OSError, ValueError) as exc:
+        raise NodeError(f'node {node} gave no answer: {exc}') from exc
+
+
 def _conflict(name: str, exc: urllib.error.HTTPError) -> str:
     found = json.load(exc)
     revision = found.get('revision')
--- a/marjoramlead/porcelain.py
+++ b/marjoramlead/porcelain.py
@@ -3,8 +3,9 @@
 import json
 import time
 from collections.abc import Callable, Iterator, Sequence
+from difflib import unified_diff
 from pathlib import Path
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, cast
 
 from expression import Error, Result
 
@@ -15,14 +16,22 @@
     parse_object,
 )
 from marjoramlead.errors import DocumentError, Fault, NodeError
-from marjoramlead.node_client import fetch_status, publish, published
+from marjoramlead.generated.contract_types import ContractDocument
+from marjoramlead.node_client import (
+    fetch_document,
+    fetch_status,
+    publish,
+    published,
+)
 from marjoramlead.reports import DocumentStatus, NodeStatus
 from marjoramlead.settings import read_text
 
 __all__ = (
     'Checked',
     'Progress',
+    'changes_of',
     'check_contract',
+    'contract_in_force',
     'document_in_force',
     'set_out',
     'submit',
@@ -116,6 +125,43 @@
     return publish(publisher, OPERATIONS, text, held['revision'])
 
 
+def contract_in_force(node: str, customer: str) -> ContractDocument:
+    """Read a customer's contract as it is in force on a node.
+
+    Raises
+    ------
+    NodeError
+        If the node does not answer, or has none.
+    """
+    held = fetch_document(node, f'{CONTRACTS}{customer}')
+    parsed = parse_object(held['text'] if held else '')
+    if parsed.is_error():
+        raise NodeError(f'node {node} has no contract of {customer} in force')
+    return cast(ContractDocument, parsed.ok)
+
+
+def changes_of(node: str, contract: Checked) -> list[str]:
+    """List what a contract would change against what is in force.
+
+    Returns
+    -------
+    Lines of a unified diff; none if nothing would change.
+    """
+    held = fetch_document(node, contract.name)
+    before = _lines_of(held['text'] if held else '{}')
+    after = _lines_of(contract.text)
+    revision = held['revision'] if held else 0
+    return list(
+        unified_diff(
+            before,
+            after,
+            f'in force, revision {revision}',
+            'submitted',
+            lineterm='',
+        ),
+    )
+
+
 def document_in_force(status: NodeStatus, name: str) -> DocumentStatus | None:
     """Find one document among those that a node has in force."""
     return next(
@@ -193,5 +239,10 @@
     )
 
 
+def _lines_of(text: str) -> list[str]:
+    parsed = parse_object(text).default_value({})
+    return json.dumps(parsed, indent=1).splitlines()
+
+
 def _names(listed: object) -> list[str]:
     return [str(each) for each in listed] if isinstance(listed, list) else []
--- /dev/null
+++ b/marjoramlead/refusals.py
@@ -0,0 +1,38 @@
+"""The calls that a gateway refused of late, for ``marjoramlead explain``."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from typing import Final
+
+from marjoramlead.reports import RefusedCall
+from marjoramlead.verdict import Refusal
+
+__all__ = ('RecentRefusals', 'note_refused')
+
+MAX_KEPT: Final = 1000
+
+
+class RecentRefusals:
+    """Refused calls by request id, the oldest first."""
+
+    def __init__(self) -> None:
+        self.by_id: OrderedDict[str, RefusedCall] = OrderedDict()
+
+
+def note_refused(
+    recent: RecentRefusals,
+    request_id: str,
+    refusal: Refusal,
+    tried: Sequence[str],
+) -> None:
+    """Remember one refused call, and forget the oldest."""
+    recent.by_id[request_id] = {
+        'request_id': request_id,
+        'reason': refusal.reason.value,
+        'verdict': refusal.verdict.value,
+        'retry_after': refusal.retry_after,
+        'tried': list(tried),
+    }
+    recent.by_id.move_to_end(request_id)
+    if len(recent.by_id) > MAX_KEPT:
+        recent.by_id.popitem(last=False)
--- a/marjoramlead/rendering.py
+++ b/marjoramlead/rendering.py
@@ -3,10 +3,18 @@
 from collections import Counter
 from collections.abc import Iterator, Sequence
 
+from marjoramlead.explanations import explain_reason
+from marjoramlead.generated.contract_types import ContractDocument, ServiceTerms
 from marjoramlead.porcelain import Progress
 from marjoramlead.reports import NodeStatus, TargetStatus
+from marjoramlead.verdict import Reason
 
-__all__ = ('progress_line', 'status_lines')
+__all__ = (
+    'contract_lines',
+    'progress_line',
+    'refusal_lines',
+    'status_lines',
+)
 
 SHOWN_BEHIND = 3
 UNKNOWN_AGE_S = 1e6
@@ -25,6 +33,47 @@
     return '; '.join(parts)
 
 
+def contract_lines(contract: ContractDocument) -> Iterator[str]:
+    """Describe what a contract grants, in words and limits."""
+    share = contract['retry_share']
+    yield f'{contract["customer"]}'
+    yield f'  retries    at most {share:.0%} of first attempts'
+    yield f'  keys       known again for {contract["key_memory_ms"]} ms'
+    for service in contract['services']:
+        yield from _service_lines(service)
+    for route in contract['routes']:
+        methods = '/'.join(route['methods'])
+        yield (
+            f'  route      {route["route"]}: {methods} {route["path"]} '
+            f'to {route["service"]}, {route["kind"]}, '
+            f'{route["attempts"]} attempts within {route["wait_limit_ms"]} ms'
+        )
+
+
+def _service_lines(terms: ServiceTerms) -> Iterator[str]:
+    yield f'  service    {terms["service"]}'
+    yield (
+        f'    target   {terms["slots"]} at once, '
+        f'{terms["cold_slots"]} when cold, all after '
+        f'{terms["warm_answers"]} answers'
+    )
+    yield (
+        f'    kept     {terms["internal_slots"]} for internal checks, '
+        f'at most {terms["upload_slots"]} for uploads'
+    )
+    yield (
+        f'    queue    {terms["queue"]} wait, '
+        f'drain up to {terms["drain_limit_ms"]} ms'
+    )
+
+
+def refusal_lines(reason: Reason) -> Iterator[str]:
+    """Say what a reason means, and what to do."""
+    meaning, advice = explain_reason(reason)
+    yield f'{reason}: {meaning}'
+    yield f'  to do: {advice}'
+
+
 def status_lines(status: NodeStatus) -> Iterator[str]:
     """Describe a node."""
     yield f'node      {status["host"]} in {status["data_centre"]}'
--- a/marjoramlead/reports.py
+++ b/marjoramlead/reports.py
@@ -4,8 +4,10 @@
 
 __all__ = (
     'DocumentStatus',
+    'DocumentText',
     'LocalStatus',
     'NodeStatus',
+    'RefusedCall',
     'RefusedStatus',
     'TargetStatus',
 )
@@ -66,3 +68,27 @@
     calls_in_flight: int
     control_bytes_sent: int
     counters: dict[str, int]
+
+
+class DocumentText(TypedDict):
+    """A document in force, whole."""
+
+    name: str
+    revision: int
+    text: str
+
+
+class RefusedCall(TypedDict):
+    """A call that a gateway refused of late.
+
+    Attributes
+    ----------
+    tried
+        Hosts that had an attempt.
+    """
+
+    request_id: str
+    reason: str
+    verdict: str
+    retry_after: int
+    tried: list[str]
--- /dev/null
+++ b/tests/test_explanations.py
@@ -0,0 +1,31 @@
+from marjoramlead.explanations import explain_reason
+from marjoramlead.refusals import MAX_KEPT, RecentRefusals, note_refused
+from marjoramlead.verdict import Reason, Refusal, Verdict
+from tests.mesh import Mesh
+
+
+def test_every_reason_is_explained():
+    for reason in Reason:
+        meaning, advice = explain_reason(reason)
+        assert meaning.endswith('.')
+        assert advice.endswith('.')
+
+
+def test_refused_call_is_found_by_its_id():
+    mesh = Mesh(nodes=1, queue=0)
+    calls = [mesh.call(0) for _call in range(5)]
+    mesh.net.pump()
+    refused = mesh.gateways[0].refused.by_id
+    assert len(refused) == 3
+    for call in calls:
+        if call.ended:
+            assert refused[call.request_id]['reason'] == call.ended[0].reason
+
+
+def test_only_so_many_refusals_are_kept():
+    recent = RecentRefusals()
+    refusal = Refusal(Reason.OVERLOAD, Verdict.NOT_RUN)
+    for number in range(MAX_KEPT + 5):
+        note_refused(recent, str(number), refusal, ())
+    assert len(recent.by_id) == MAX_KEPT
+    assert '4' not in recent.by_id
