--- a/marjoramlead/calls.py
+++ b/marjoramlead/calls.py
@@ -117,7 +117,12 @@
         call.contract.customer,
         call.route.service,
     )
-    untried = preferred(candidates, place.data_centre, call.tried)
+    untried = preferred(
+        candidates,
+        place.data_centre,
+        call.tried,
+        place.states.spared(now),
+    )
     return pick(untried, place.states, place.rng, now)
 
 
--- a/marjoramlead/explanations.py
+++ b/marjoramlead/explanations.py
@@ -31,6 +31,10 @@
         'Another request holds the same Idempotency-Key.',
         'The first request stands; ask the service for its outcome.',
     ),
+    Reason.GATEWAY_FULL: (
+        'The gateway has as many calls in flight as its memory allows.',
+        'Spread the callers over more nodes.',
+    ),
     Reason.KEY_UNKNOWN: (
         'Two of the three keepers of the key are down or started of late, so '
         'nobody can say whether it ran.',
--- a/marjoramlead/gateway.py
+++ b/marjoramlead/gateway.py
@@ -26,6 +26,7 @@
 SECOND_MS: Final = 1000
 MAX_WAIT_S: Final = 86_400.0
 MAX_ID_LENGTH: Final = 128
+MAX_IN_FLIGHT: Final = 2000
 
 
 @dataclass(slots=True)
@@ -97,6 +98,8 @@
 ) -> Call | Refusal:
     if gateway.is_draining:
         return Refusal(Reason.DRAINING, Verdict.NOT_RUN)
+    if gateway.in_flight >= MAX_IN_FLIGHT:
+        return Refusal(Reason.GATEWAY_FULL, Verdict.NOT_RUN)
     customer, path = split_uri(req.uri)
     snapshot = gateway.snapshot_of()
     bare_path = path.split('?', 1)[0]
--- a/marjoramlead/picking.py
+++ b/marjoramlead/picking.py
@@ -55,6 +55,14 @@
         """State of one host, made when it is first met."""
         return self.by_host.setdefault(host, TargetState())
 
+    def spared(self, now: float) -> set[str]:
+        """Name the hosts whose guards asked to be spared."""
+        return {
+            host
+            for host, state in self.by_host.items()
+            if state.refused_until > now
+        }
+
     def keep_only(self, hosts: Collection[str]) -> None:
         """Forget hosts that are no longer listed."""
         for host in set(self.by_host) - set(hosts):
@@ -105,11 +113,25 @@
     candidates: Sequence[Target],
     data_centre: str,
     tried: Collection[str],
+    spared: Collection[str] = (),
 ) -> Sequence[Target]:
-    """Leave out what was tried, and stay in one data centre if possible."""
+    """Leave out what was tried, and stay in one data centre if it has room.
+
+    Parameters
+    ----------
+    candidates
+        Targets that may take the call.
+    data_centre
+        Where to stay.
+    tried
+        Hosts that had this call already.
+    spared
+        Hosts whose guards refused work a moment ago.
+    """
     untried = [each for each in candidates if each.host not in tried]
     near = [each for each in untried if each.data_centre == data_centre]
-    return near or untried
+    has_room = any(each.host not in spared for each in near)
+    return near if has_room else untried
 
 
 def on_outcome(state: TargetState, now: float, *, reachable: bool) -> None:
--- a/marjoramlead/verdict.py
+++ b/marjoramlead/verdict.py
@@ -23,6 +23,7 @@
     DEADLINE = 'deadline'
     DRAINING = 'draining'
     DUPLICATE = 'duplicate'
+    GATEWAY_FULL = 'gateway_full'
     KEY_UNKNOWN = 'key_unknown'
     NO_CONTRACT = 'no_contract'
     NO_ROUTE = 'no_route'
--- /dev/null
+++ b/tests/test_picking.py
@@ -0,0 +1,111 @@
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from marjoramlead.picking import (
+    TargetStates,
+    on_outcome,
+    pick,
+    preferred,
+)
+from marjoramlead.retries import (
+    MAX_SAVED,
+    RetryBudget,
+    may_retry,
+    on_first_attempt,
+    take_retry,
+)
+from marjoramlead.snapshot import Route, Target
+from marjoramlead.verdict import Verdict
+from tests.mesh import Mesh
+
+HOSTS = [f'h-{number}' for number in range(6)]
+hosts = st.sets(st.sampled_from(HOSTS))
+
+
+def target(host, data_centre='walsall'):
+    return Target(host, data_centre, '127.0.0.1', 1, 2, 'c', 's', False)
+
+
+TARGETS = [
+    target(host, ('walsall', 'lichfield')[number % 2])
+    for number, host in enumerate(HOSTS)
+]
+
+
+@given(hosts, hosts)
+def test_own_data_centre_first_while_it_has_room(tried, spared):
+    chosen = preferred(TARGETS, 'walsall', tried, spared)
+    near = [each for each in TARGETS if each.data_centre == 'walsall']
+    room = {each.host for each in near} - tried - spared
+    assert not {each.host for each in chosen} & tried
+    if room:
+        assert {each.data_centre for each in chosen} == {'walsall'}
+    else:
+        assert len(chosen) == len(HOSTS) - len(tried)
+
+
+@given(hosts, st.integers(0, 99))
+def test_ejected_targets_are_passed_over_but_never_all(ejected, seed):
+    states = TargetStates()
+    for host in ejected:
+        on_outcome(states.of(host), 0, reachable=False)
+    chosen = pick(TARGETS, states, Random(seed), 1)
+    if len(ejected) * 2 <= len(HOSTS):
+        assert chosen.host not in ejected
+    assert chosen is not None
+
+
+def test_ejection_ends():
+    states = TargetStates()
+    on_outcome(states.of('h-0'), 0, reachable=False)
+    assert pick([TARGETS[0]], states, Random(1), 3).host == 'h-0'
+
+
+@given(st.integers(0, 300), st.floats(0, 1))
+def test_retries_stay_a_share_of_first_attempts(calls, share):
+    budget = RetryBudget()
+    retries = 0
+    for _ in range(calls):
+        on_first_attempt(budget, share)
+        retries += sum(take_retry(budget) for _try in range(20))
+    assert retries <= calls * share + MAX_SAVED
+
+
+@given(
+    st.sampled_from(['idempotent', 'at_most_once', 'upload', 'internal']),
+    st.sampled_from(Verdict),
+    st.integers(1, 4),
+)
+def test_only_safe_attempts_are_repeated(kind, verdict, made):
+    route = Route('r', 's', frozenset(), '/', kind, 1, 3)
+    allowed = may_retry(route, verdict, made)
+    if made >= route.attempts or verdict is Verdict.RAN:
+        assert not allowed
+    if kind in {'at_most_once', 'upload'} and verdict is not Verdict.NOT_RUN:
+        assert not allowed
+
+
+def test_failure_of_all_targets_raises_load_by_no_more_than_the_share():
+    mesh = Mesh(nodes=4)
+    mesh.net.refusing = set(mesh.net.sites) - {1000, 1001, 1002, 1003}
+    for _ in range(100):
+        mesh.call(0)
+        mesh.net.advance(0.01)
+    retried = sum(
+        count
+        for name, count in mesh.counters[0].by_name().items()
+        if name.startswith('retried.')
+    )
+    share = mesh.store.snapshot.contracts['tamworth'].retry_share
+    assert retried <= 100 * share + MAX_SAVED
+
+
+def test_flood_of_calls_is_refused_at_once():
+    mesh = Mesh(nodes=1)
+    mesh.gateways[0].in_flight = 2000
+    call = mesh.call(0)
+    mesh.net.pump()
+    assert call.ended[0].reason == 'gateway_full'
+    assert call.ended[0].verdict == 'not_run'
