Read as a newcomer: agent and exchanges apart, one way to read headers

Split: what a node decides by time and by the source (agent), and what it does with frames of peers (exchanges). The command line's four commands share one set of publishing options. The demo stops a node in the middle of an upload. Recorded traces of the mesh state their outcomes.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -15,8 +15,9 @@
 
 from cyclopts import App, Parameter
 
-from marjoramlead.agent import Agent, on_request, on_tick
+from marjoramlead.agent import Agent, on_tick
 from marjoramlead.counters import Counters
+from marjoramlead.exchanges import on_request
 from marjoramlead.frames import bare_frame
 from marjoramlead.peers import Identity, choose_push, view_of
 from marjoramlead.picking import TargetStates, pick, preferred, usable_targets
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -9,21 +9,26 @@
 import sys
 import tempfile
 import time
-import urllib.error
-import urllib.request
 from collections import Counter
 from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from pathlib import Path
-from typing import NamedTuple
 
+from demo.calling import (
+    call,
+    history,
+    ran_counts,
+    slow_upload,
+    work_done,
+)
 from demo.fleet import (
     ADDRESS,
     Fleet,
-    Member,
     hosts_documents,
     lay_out,
     running_fleet,
+    start_node,
 )
 from marjoramlead.documents import OPERATIONS
 from marjoramlead.errors import MarjoramleadError
@@ -44,17 +49,9 @@
 EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
 IN_FORCE_LIMIT_S = 6.0
 START_LIMIT_S = 20.0
-CALL_LIMIT_S = 10.0
 WORKBOOK_BYTES = 3_000_000
 KEY_MS = 3000
-
-
-class Ended(NamedTuple):
-    """How one call ended."""
-
-    status: int
-    verdict: str
-    body: bytes
+UPLOAD_UNDER_WAY_S = 0.4
 
 
 class Account:
@@ -70,28 +67,6 @@
         sys.stdout.write(f'{mark} {outcome}\n')
 
 
-def call(
-    member: Member,
-    method: str,
-    path: str,
-    body: bytes | None = None,
-    key: str = '',
-) -> Ended:
-    """Make one call at a node's gateway."""
-    fields = {'Idempotency-Key': key} if key else {}
-    address = f'http://{ADDRESS}:{member.gateway}{path}'
-    req = urllib.request.Request(address, body, fields, method=method)
-    try:
-        with urllib.request.urlopen(req, timeout=CALL_LIMIT_S) as answer:
-            verdict = answer.headers['X-Marjoram-Verdict']
-            return Ended(answer.status, verdict, answer.read())
-    except urllib.error.HTTPError as exc:
-        verdict = exc.headers['X-Marjoram-Verdict']
-        return Ended(exc.code, verdict, exc.read())
-    except OSError as exc:
-        return Ended(0, 'none', str(exc).encode())
-
-
 def wait_until(
     condition: Callable[[], bool],
     limit: float = START_LIMIT_S,
@@ -187,19 +162,25 @@
     )
 
 
-def ran_counts(fleet: Fleet) -> Counter[str]:
-    """Add up how often each request ran, over all targets."""
-    total: Counter[str] = Counter()
-    for member in fleet.members:
-        total.update(history(member)['ran'])
-    return total
-
-
-def history(member: Member) -> dict:
-    """Ask a target what it did."""
-    address = f'http://{ADDRESS}:{member.target}/ran'
-    with urllib.request.urlopen(address, timeout=CALL_LIMIT_S) as answer:
-        return json.load(answer)
+def drain_in_upload(fleet: Fleet, account: Account) -> None:
+    """Stop a node in the middle of an upload that goes through it."""
+    member = fleet.members[2]
+    node = fleet.processes[f'node-{member.host}']
+    path = '/te-puna-tatai/workbooks/10'
+    with ThreadPoolExecutor(1) as pool:
+        uploading = pool.submit(slow_upload, member, path, WORKBOOK_BYTES)
+        time.sleep(UPLOAD_UNDER_WAY_S)
+        node.terminate()
+        ended = uploading.result()
+    received = json.loads(ended.body).get('bytes')
+    account.state(
+        f'upload through a node that was told to stop: {ended.status}, '
+        f'{received} bytes arrived',
+        held=received == WORKBOOK_BYTES,
+    )
+    code = node.wait(IN_FORCE_LIMIT_S)
+    account.state(f'that node ended with {code}', held=code == 0)
+    start_node(fleet, member)
 
 
 def change_contract(fleet: Fleet, account: Account) -> None:
@@ -271,11 +252,6 @@
     )
 
 
-def work_done(members: Sequence[Member]) -> int:
-    """Count the requests that ran at some targets."""
-    return sum(sum(history(member)['ran'].values()) for member in members)
-
-
 def show(fleet: Fleet) -> None:
     """Print what each node says is in force."""
     for member in fleet.members:
@@ -297,6 +273,7 @@
     browse(fleet, account, 3)
     publish_once(fleet, account)
     upload(fleet, account)
+    drain_in_upload(fleet, account)
     change_contract(fleet, account)
     take_out(fleet, account)
     show(fleet)
--- /dev/null
+++ b/demo/calling.py
@@ -0,0 +1,93 @@
+"""Make calls as a caller would, and ask targets what they did."""
+
+import http.client
+import json
+import time
+import urllib.error
+import urllib.request
+from collections import Counter
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from demo.fleet import ADDRESS, Fleet, Member
+
+__all__ = (
+    'Ended',
+    'call',
+    'history',
+    'ran_counts',
+    'slow_upload',
+    'work_done',
+)
+
+CALL_LIMIT_S = 10.0
+CHUNKS = 10
+CHUNK_GAP_S = 0.1
+
+
+class Ended(NamedTuple):
+    """How one call ended."""
+
+    status: int
+    verdict: str
+    body: bytes
+
+
+def call(
+    member: Member,
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    key: str = '',
+) -> Ended:
+    """Make one call at a node's gateway."""
+    fields = {'Idempotency-Key': key} if key else {}
+    address = f'http://{ADDRESS}:{member.gateway}{path}'
+    req = urllib.request.Request(address, body, fields, method=method)
+    try:
+        with urllib.request.urlopen(req, timeout=CALL_LIMIT_S) as answer:
+            verdict = answer.headers['X-Marjoram-Verdict']
+            return Ended(answer.status, verdict, answer.read())
+    except urllib.error.HTTPError as exc:
+        verdict = exc.headers['X-Marjoram-Verdict']
+        return Ended(exc.code, verdict, exc.read())
+    except OSError as exc:
+        return Ended(0, 'none', str(exc).encode())
+
+
+def slow_upload(member: Member, path: str, size: int) -> Ended:
+    """Upload in chunks, with a pause after each."""
+    conn = http.client.HTTPConnection(
+        ADDRESS,
+        member.gateway,
+        timeout=CALL_LIMIT_S,
+    )
+    conn.putrequest('PUT', path)
+    conn.putheader('Content-Length', str(size))
+    conn.endheaders()
+    for _ in range(CHUNKS):
+        conn.send(bytes(size // CHUNKS))
+        time.sleep(CHUNK_GAP_S)
+    answer = conn.getresponse()
+    verdict = answer.headers['X-Marjoram-Verdict']
+    return Ended(answer.status, verdict, answer.read())
+
+
+def ran_counts(fleet: Fleet) -> Counter[str]:
+    """Add up how often each request ran, over all targets."""
+    total: Counter[str] = Counter()
+    for member in fleet.members:
+        total.update(history(member)['ran'])
+    return total
+
+
+def history(member: Member) -> dict:
+    """Ask a target what it did."""
+    address = f'http://{ADDRESS}:{member.target}/ran'
+    with urllib.request.urlopen(address, timeout=CALL_LIMIT_S) as answer:
+        return json.load(answer)
+
+
+def work_done(members: Sequence[Member]) -> int:
+    """Count the requests that ran at some targets."""
+    return sum(sum(history(member)['ran'].values()) for member in members)
--- a/marjoramlead/agent.py
+++ b/marjoramlead/agent.py
@@ -11,14 +11,9 @@
 
 from marjoramlead.counters import Counters
 from marjoramlead.frames import (
-    Merge,
     bare_frame,
-    documents_for,
-    fill_missing,
     frame_heads,
     frame_refusals,
-    merge_frame,
-    wanted_heads,
 )
 from marjoramlead.generated.frame_types import Frame
 from marjoramlead.peers import (
@@ -34,7 +29,6 @@
     RefusedVersion,
     Version,
     VersionStore,
-    heads_after,
     offer,
     withdraw_absent,
 )
@@ -46,20 +40,18 @@
     'Exchange',
     'Listing',
     'ReadSource',
+    'count_outcomes',
     'on_listing',
     'on_read_failed',
-    'on_reply',
-    'on_request',
     'on_tick',
+    'own_frame',
     'source_age',
+    'tell',
 )
 
 TICK_S: Final = 0.25
 PULL_PERIOD_S: Final = 1.0
 JITTER: Final = 0.2
-MAX_LEARNED: Final = 64
-MAX_ASKED: Final = 256
-ASK_LIMIT_S: Final = 0.5
 NEVER_SEEN_AGE_S: Final = 1e6
 
 
@@ -161,7 +153,7 @@
         agent.next_read_at = now + PULL_PERIOD_S
     agent.source_revision = max(agent.source_revision, listing.revision)
     outcomes = [offer(agent.store, version) for version in listing.changed]
-    _count_outcomes(agent, outcomes)
+    count_outcomes(agent, outcomes)
     withdrawn = withdraw_absent(
         agent.store,
         listing.names,
@@ -177,7 +169,7 @@
         for version, outcome in zip(listing.changed, outcomes, strict=True)
         if outcome is Outcome.REFUSED and version.name in agent.store.refused
     ]
-    return _tell(agent, news + withdrawn, refusals, now)
+    return tell(agent, news + withdrawn, refusals, now)
 
 
 def on_read_failed(agent: Agent, now: float) -> None:
@@ -194,52 +186,6 @@
     agent.next_read_at = now + period * jitter
 
 
-def on_request(
-    agent: Agent,
-    frame: Frame,
-    now: float,
-) -> tuple[Frame, list[Effect]]:
-    """Merge a peer's frame.
-
-    Returns
-    -------
-    The reply, and the effects of what the frame brought.
-    """
-    merge = _merge(agent, frame, now)
-    reply = bare_frame(agent.identity, agent.store, source_age(agent, now))
-    reply['wants'] = _ask_once(agent, frame, now)
-    reply['documents'] = documents_for(agent.store, frame['wants'])
-    fill_missing(reply, agent.store, frame)
-    return reply, _tell(agent, merge.applied, merge.refusals, now)
-
-
-def on_reply(
-    agent: Agent,
-    exchange: Exchange,
-    reply: Frame,
-    now: float,
-) -> list[Effect]:
-    """Merge the reply to an exchange; go on while either side lacks some.
-
-    Parameters
-    ----------
-    agent
-        The node's agent.
-    exchange
-        What was sent.
-    reply
-        What came back.
-    now
-        Seconds on the node's monotonic clock.
-    """
-    merge = _merge(agent, reply, now)
-    effects = _tell(agent, merge.applied, merge.refusals, now)
-    follow_up = _follow_up(agent, exchange, reply, now)
-    if follow_up is not None:
-        effects.append(Exchange(exchange.address, follow_up))
-    return effects
-
-
 def _pull(agent: Agent, now: float) -> list[Effect]:
     is_cold = agent.view.is_empty()
     period = TICK_S if is_cold else PULL_PERIOD_S
@@ -250,7 +196,7 @@
     if address is None or address == agent.identity.control:
         return []
     agent.counters.add('peer.pulls')
-    return [Exchange(address, _own_frame(agent, now))]
+    return [Exchange(address, own_frame(agent, now))]
 
 
 def _may_read(agent: Agent, now: float) -> bool:
@@ -267,78 +213,25 @@
     return agent.view.rank < readers_allowed(source_age(agent, now))
 
 
-def _own_frame(agent: Agent, now: float) -> Frame:
+def own_frame(agent: Agent, now: float) -> Frame:
+    """Build a frame that says only how far this node is."""
     return bare_frame(agent.identity, agent.store, source_age(agent, now))
 
 
-def _merge(agent: Agent, frame: Frame, now: float) -> Merge:
-    _learn(agent, frame['control'], now)
-    seen_at = now - frame['source_age_ms'] / 1000
-    agent.source_seen_at = max(agent.source_seen_at, seen_at)
-    merge = merge_frame(agent.store, frame)
-    _count_outcomes(agent, merge.outcomes)
-    return merge
-
-
-def _ask_once(agent: Agent, frame: Frame, now: float) -> list[str]:
-    """Want what is announced, unless a peer is sending it already."""
-    wants: list[str] = []
-    for head in wanted_heads(agent.store, frame):
-        asked = (head['name'], head['revision'])
-        if agent.asked_until.get(asked, 0) <= now:
-            agent.asked_until[asked] = now + ASK_LIMIT_S
-            wants.append(head['name'])
-    if len(agent.asked_until) > MAX_ASKED:
-        agent.asked_until = {
-            asked: until
-            for asked, until in agent.asked_until.items()
-            if until > now
-        }
-    return wants
-
-
-def _learn(agent: Agent, address: str, now: float) -> None:
-    if address == agent.identity.control:
-        return
-    agent.learned.pop(address, None)
-    agent.learned[address] = now
-    if len(agent.learned) > MAX_LEARNED:
-        agent.learned.pop(next(iter(agent.learned)))
-
-
-def _follow_up(
-    agent: Agent,
-    exchange: Exchange,
-    reply: Frame,
-    now: float,
-) -> Frame | None:
-    if reply['root'] == agent.store.root:
-        return None
-    frame = _own_frame(agent, now)
-    frame['wants'] = _ask_once(agent, reply, now)
-    frame['documents'] = documents_for(agent.store, reply['wants'])
-    if frame['wants'] or frame['documents']:
-        return frame
-    if exchange.frame['full']:
-        return None
-    frame['full'] = True
-    frame['heads'] = frame_heads(heads_after(agent.store, 0))
-    return frame
-
-
-def _tell(
+def tell(
     agent: Agent,
     news: Sequence[Version],
     refusals: Sequence[RefusedVersion],
     now: float,
 ) -> list[Effect]:
+    """Note what is new, and choose whom to tell of it."""
     if not news and not refusals:
         return []
     agent.in_force_since.update((version.name, now) for version in news)
     if agent.viewed_hosts is not agent.store.snapshot.hosts:
         agent.viewed_hosts = agent.store.snapshot.hosts
         agent.view = view_of(agent.identity, agent.store.snapshot)
-    frame = _own_frame(agent, now)
+    frame = own_frame(agent, now)
     frame['heads'] = frame_heads(news)
     frame['refusals'] = frame_refusals(refusals)
     others = sorted({*agent.identity.seeds, *agent.learned})
@@ -349,6 +242,7 @@
     ]
 
 
-def _count_outcomes(agent: Agent, outcomes: Sequence[Outcome]) -> None:
+def count_outcomes(agent: Agent, outcomes: Sequence[Outcome]) -> None:
+    """Count what became of offered versions."""
     for outcome in outcomes:
         agent.counters.add(f'version.{outcome}')
--- a/marjoramlead/claiming.py
+++ b/marjoramlead/claiming.py
@@ -39,8 +39,8 @@
 def answer_claim(guard: Guard, req: StreamRequest) -> None:
     """Vote on a claim of another guard, or take its release."""
     fields = req.requestHeaders
-    key = _first(fields, names.CLAIM)
-    holder = _first(fields, names.HOLDER)
+    key = names.first_value(fields, names.CLAIM)
+    holder = names.first_value(fields, names.HOLDER)
     if fields.hasHeader(names.RELEASE):
         release_key(guard.ledger, key, holder)
         req.answer(Answer(NO_CONTENT, Headers(), b''))
@@ -99,7 +99,7 @@
     if keeper.host == guard.host:
         return _own_vote(guard, claim.key, claim.holder)
     answer = await _send(guard, keeper, _headers(claim))
-    cast = _first(answer, names.VOTE) if answer else ''
+    cast = names.first_value(answer, names.VOTE) if answer else ''
     return Vote(cast) if cast in set(Vote) else None
 
 
@@ -142,8 +142,3 @@
             names.HOLDER: [claim.holder.encode('latin-1')],
         }
     )
-
-
-def _first(fields: Headers, name: bytes) -> str:
-    raw = fields.getRawHeaders(name)
-    return raw[0].decode('latin-1') if raw else ''
--- a/marjoramlead/cli.py
+++ b/marjoramlead/cli.py
@@ -4,6 +4,7 @@
 import sys
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from functools import wraps
 from importlib.metadata import version
 from pathlib import Path
@@ -11,6 +12,7 @@
 
 from cyclopts import App, Parameter
 
+from marjoramlead.documents import OPERATIONS
 from marjoramlead.errors import (
     DocumentError,
     MarjoramleadError,
@@ -57,6 +59,31 @@
 )
 
 
+@dataclass(frozen=True)
+class Publishing:
+    """Where to publish a change, and how to follow it.
+
+    Attributes
+    ----------
+    publisher
+        Base address of the place that operators publish to.
+    node
+        Admin ports of the nodes to follow with ``--wait``.
+    wait
+        Follow the change until it is in force on those nodes.
+    limit
+        Seconds to follow it for.
+    """
+
+    publisher: str = DEFAULT_PUBLISHER
+    node: list[str] | None = None
+    wait: bool = False
+    limit: float = WAIT_S
+
+
+NOT_WAITING: Final = Publishing()
+
+
 def _reporting(command: Callable[..., int]) -> Callable[..., int]:
     @wraps(command)
     def run(*positional: object, **named: object) -> int:
@@ -95,10 +122,7 @@
 def submit_contract(
     contract: Path,
     *,
-    publisher: str = DEFAULT_PUBLISHER,
-    node: list[str] | None = None,
-    wait: bool = False,
-    limit: float = WAIT_S,
+    publishing: Annotated[Publishing, Parameter(name='*')] = NOT_WAITING,
 ) -> int:
     """Check a contract and publish it.
 
@@ -106,21 +130,11 @@
     ----------
     contract
         Contract file, JSON with comments.
-    publisher
-        Base address of the place that operators publish to.
-    node
-        Admin ports of the nodes to follow with ``--wait``.
-    wait
-        Follow it until it is in force on those nodes.
-    limit
-        Seconds to follow it for.
     """
     checked = check_contract(contract)
-    revision = submit(publisher, checked)
+    revision = submit(publishing.publisher, checked)
     sys.stdout.write(f'{checked.name} published at revision {revision}\n')
-    if not wait:
-        return 0
-    return _follow(node, checked.name, revision, limit)
+    return _follow(publishing, checked.name, revision)
 
 
 @app.command(name='take-out')
@@ -128,10 +142,7 @@
 def take_out(
     data_centre: str,
     *,
-    publisher: str = DEFAULT_PUBLISHER,
-    node: list[str] | None = None,
-    wait: bool = False,
-    limit: float = WAIT_S,
+    publishing: Annotated[Publishing, Parameter(name='*')] = NOT_WAITING,
 ) -> int:
     """Take a data centre out: it gets no new work.
 
@@ -139,18 +150,10 @@
     ----------
     data_centre
         Its name.
-    publisher
-        Base address of the place that operators publish to.
-    node
-        Admin ports of the nodes to follow with ``--wait``.
-    wait
-        Follow the change until it is in force on those nodes.
-    limit
-        Seconds to follow it for.
     """
-    revision = set_out(publisher, data_centre, out=True)
+    revision = set_out(publishing.publisher, data_centre, out=True)
     sys.stdout.write(f'{data_centre} is out at revision {revision}\n')
-    return _follow(node, 'operations', revision, limit) if wait else 0
+    return _follow(publishing, OPERATIONS, revision)
 
 
 @app.command(name='bring-back')
@@ -158,10 +161,7 @@
 def bring_back(
     data_centre: str,
     *,
-    publisher: str = DEFAULT_PUBLISHER,
-    node: list[str] | None = None,
-    wait: bool = False,
-    limit: float = WAIT_S,
+    publishing: Annotated[Publishing, Parameter(name='*')] = NOT_WAITING,
 ) -> int:
     """Bring a data centre back: its targets get work again, slowly at first.
 
@@ -169,18 +169,10 @@
     ----------
     data_centre
         Its name.
-    publisher
-        Base address of the place that operators publish to.
-    node
-        Admin ports of the nodes to follow with ``--wait``.
-    wait
-        Follow the change until it is in force on those nodes.
-    limit
-        Seconds to follow it for.
     """
-    revision = set_out(publisher, data_centre, out=False)
+    revision = set_out(publishing.publisher, data_centre, out=False)
     sys.stdout.write(f'{data_centre} is back at revision {revision}\n')
-    return _follow(node, 'operations', revision, limit) if wait else 0
+    return _follow(publishing, OPERATIONS, revision)
 
 
 @app.command
@@ -279,14 +271,11 @@
     return 0
 
 
-def _follow(
-    nodes: list[str] | None,
-    name: str,
-    revision: int,
-    limit: float,
-) -> int:
-    asked = nodes or [DEFAULT_NODE]
-    deadline = time.monotonic() + limit
+def _follow(publishing: Publishing, name: str, revision: int) -> int:
+    if not publishing.wait:
+        return 0
+    asked = publishing.node or [DEFAULT_NODE]
+    deadline = time.monotonic() + publishing.limit
     last: Progress | None = None
     for progress in wait_in_force(asked, name, revision, deadline):
         if progress != last:
--- a/marjoramlead/driver.py
+++ b/marjoramlead/driver.py
@@ -17,12 +17,11 @@
     ReadSource,
     on_listing,
     on_read_failed,
-    on_reply,
-    on_request,
     on_tick,
 )
 from marjoramlead.clock import Clock
 from marjoramlead.control import ControlPort
+from marjoramlead.exchanges import on_reply, on_request
 from marjoramlead.generated.frame_types import Frame
 from marjoramlead.logs import config_log
 from marjoramlead.source import read_listing
--- a/marjoramlead/gateway.py
+++ b/marjoramlead/gateway.py
@@ -76,7 +76,8 @@
     req
         The caller's request.
     """
-    request_id = _text_header(req, names.REQUEST_ID) or uuid.uuid4().hex
+    given = names.first_value(req.requestHeaders, names.REQUEST_ID)
+    request_id = given[:MAX_ID_LENGTH] or uuid.uuid4().hex
     call = _match(gateway, req, request_id)
     if isinstance(call, Refusal):
         _refuse(gateway, req, call, request_id)
@@ -171,13 +172,6 @@
     req.answer(refusal_answer(refusal, request_id))
 
 
-def _text_header(req: StreamRequest, name: bytes) -> str | None:
-    raw = req.requestHeaders.getRawHeaders(name)
-    return raw[0].decode('latin-1')[:MAX_ID_LENGTH] if raw else None
-
-
 def _wait_of(req: StreamRequest) -> float:
-    raw = _text_header(req, names.WAIT_MS)
-    if raw is None or not raw.isdecimal():
-        return MAX_WAIT_S
-    return int(raw) / SECOND_MS
+    raw = names.first_value(req.requestHeaders, names.WAIT_MS)
+    return int(raw) / SECOND_MS if raw.isdecimal() else MAX_WAIT_S
--- a/marjoramlead/guarding.py
+++ b/marjoramlead/guarding.py
@@ -88,16 +88,16 @@
 
 def _read_work(guard: Guard, req: StreamRequest) -> Work | None:
     fields = req.requestHeaders
-    request_id = _first(fields, names.REQUEST_ID)
-    kind = _first(fields, names.KIND)
-    wait_ms = _first(fields, names.WAIT_MS)
+    request_id = names.first_value(fields, names.REQUEST_ID)
+    kind = names.first_value(fields, names.KIND)
+    wait_ms = names.first_value(fields, names.WAIT_MS)
     if not request_id or kind not in KINDS or not wait_ms.isdecimal():
         return None
     return Work(
-        customer=_first(fields, names.CUSTOMER),
-        service=_first(fields, names.SERVICE),
+        customer=names.first_value(fields, names.CUSTOMER),
+        service=names.first_value(fields, names.SERVICE),
         request_id=request_id,
-        key=_first(fields, names.IDEMPOTENCY_KEY),
+        key=names.first_value(fields, names.IDEMPOTENCY_KEY),
         kind=cast(Kind, kind),
         deadline=guard.reactor.seconds() + int(wait_ms) / SECOND_MS,
     )
@@ -249,8 +249,3 @@
 ) -> None:
     guard.counters.add(f'guard.refused.{refusal.reason}')
     req.answer(refusal_answer(refusal, request_id))
-
-
-def _first(fields: Headers, name: bytes) -> str:
-    raw = fields.getRawHeaders(name)
-    return raw[0].decode('latin-1') if raw else ''
--- a/marjoramlead/headers.py
+++ b/marjoramlead/headers.py
@@ -6,6 +6,8 @@
 
 from typing import Final
 
+from twisted.web.http_headers import Headers
+
 __all__ = (
     'CLAIM',
     'CUSTOMER',
@@ -23,6 +25,7 @@
     'VERDICT',
     'VOTE',
     'WAIT_MS',
+    'first_value',
 )
 
 CUSTOMER: Final = b'X-Marjoram-Customer'
@@ -55,3 +58,9 @@
         b'upgrade',
     )
 )
+
+
+def first_value(fields: Headers, name: bytes) -> str:
+    """Read the first value of a header; empty where there is none."""
+    raw = fields.getRawHeaders(name)
+    return raw[0].decode('latin-1') if raw else ''
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -181,3 +181,5 @@
     for step in trace['steps']:
         replay.apply(step)
     replay.finish()
+    ends = [call.ended[0] for call in replay.mesh.calls]
+    assert [[end.status, end.verdict] for end in ends] == trace['ends']
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,11 +15,10 @@
     ReadSource,
     on_listing,
     on_read_failed,
-    on_reply,
-    on_request,
     on_tick,
 )
 from marjoramlead.counters import Counters
+from marjoramlead.exchanges import on_reply, on_request
 from marjoramlead.generated.frame_types import Frame
 from marjoramlead.peers import Identity
 from marjoramlead.versions import make_version
