Keep callers from speaking as nodes; regions that part; statsd that is gone

Cause, found in reading: the gateway passed a caller's X-Marjoram headers on to the guard, so a caller could claim or release keys or hold upload slots. They are dropped now, but for the request id and the wait, which the gateway reads itself. A wait of thousands of digits raised inside; it counts as none.

--- a/marjoramlead/attempts.py
+++ b/marjoramlead/attempts.py
@@ -9,7 +9,7 @@
 from marjoramlead.bodies import BodyStream, RequestBody
 from marjoramlead.calls import Call, after_refusal, next_target
 from marjoramlead.collecting import collect_body
-from marjoramlead.gateway import SECOND_MS, Gateway, Served, split_uri
+from marjoramlead.gateway import Gateway, Served, split_uri
 from marjoramlead.http_client import Outgoing, Response, drop_body, send_request
 from marjoramlead.http_server import StreamRequest
 from marjoramlead.picking import on_outcome
@@ -150,6 +150,8 @@
         gateway.reactor,
         call.deadline,
     )
+    if relayed is Relayed.CUT_SEEN:
+        gateway.counters.add('cut_answers')
     return CUT if relayed is Relayed.CUT_UNSEEN else None
 
 
@@ -176,6 +178,9 @@
     req: StreamRequest,
 ) -> Headers:
     fields = passed_headers(req.requestHeaders)
+    for name, _values in list(fields.getAllRawHeaders()):
+        if names.is_own(name):
+            fields.removeHeader(name)
     for name, raw in _own_headers(gateway, call).getAllRawHeaders():
         fields.setRawHeaders(name, raw)
     return fields
@@ -183,7 +188,7 @@
 
 def _own_headers(gateway: Gateway, call: Call) -> Headers:
     left = call.deadline - gateway.reactor.seconds()
-    wait_ms = max(0, int(left * SECOND_MS))
+    wait_ms = max(0, int(left * names.SECOND_MS))
     return Headers(
         {
             names.CUSTOMER: [call.contract.customer.encode()],
--- a/marjoramlead/explanations.py
+++ b/marjoramlead/explanations.py
@@ -57,10 +57,6 @@
         'or too slow for the wait limit.',
         'Add targets; raise slots only if the targets bear more.',
     ),
-    Reason.RETRY_BUDGET: (
-        'The share of retries of the contract is used up.',
-        'Mend what fails; more retries would add to its load.',
-    ),
     Reason.SILENT: (
         'No answer came within the wait limit.',
         'Look at the target: it may be frozen or cut off.',
--- a/marjoramlead/gateway.py
+++ b/marjoramlead/gateway.py
@@ -23,7 +23,6 @@
 
 __all__ = ('Attempts', 'Gateway', 'handle_call')
 
-SECOND_MS: Final = 1000
 MAX_WAIT_S: Final = 86_400.0
 MAX_ID_LENGTH: Final = 128
 MAX_IN_FLIGHT: Final = 2000
@@ -173,5 +172,5 @@
 
 
 def _wait_of(req: StreamRequest) -> float:
-    raw = names.first_value(req.requestHeaders, names.WAIT_MS)
-    return int(raw) / SECOND_MS if raw.isdecimal() else MAX_WAIT_S
+    wait = names.wait_of(req.requestHeaders)
+    return MAX_WAIT_S if wait is None else wait
--- a/marjoramlead/guarding.py
+++ b/marjoramlead/guarding.py
@@ -42,7 +42,6 @@
 
 __all__ = ('handle_work',)
 
-SECOND_MS: Final = 1000
 ONCE: Final = frozenset(('at_most_once', 'upload'))
 KINDS: Final = frozenset(('idempotent', 'at_most_once', 'upload', 'internal'))
 CUT: Final = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN)
@@ -90,8 +89,8 @@
     fields = req.requestHeaders
     request_id = names.first_value(fields, names.REQUEST_ID)
     kind = names.first_value(fields, names.KIND)
-    wait_ms = names.first_value(fields, names.WAIT_MS)
-    if not request_id or kind not in KINDS or not wait_ms.isdecimal():
+    wait = names.wait_of(fields)
+    if not request_id or kind not in KINDS or wait is None:
         return None
     return Work(
         customer=names.first_value(fields, names.CUSTOMER),
@@ -99,7 +98,7 @@
         request_id=request_id,
         key=names.first_value(fields, names.IDEMPOTENCY_KEY),
         kind=cast(Kind, kind),
-        deadline=guard.reactor.seconds() + int(wait_ms) / SECOND_MS,
+        deadline=guard.reactor.seconds() + wait,
     )
 
 
@@ -121,7 +120,7 @@
     if req.requestHeaders.hasHeader(names.RESERVE):
         reserve(guard, work.request_id, number)
         fields = Headers({names.REQUEST_ID: [work.request_id.encode()]})
-        req.answer(Answer(204, fields, b''))
+        req.answer(Answer(HTTPStatus.NO_CONTENT, fields, b''))
         return None
     try:
         return await _run_once(guard, req, work, number)
@@ -200,7 +199,7 @@
 def _outgoing(guard: Guard, req: StreamRequest, work: Work) -> Outgoing:
     fields = passed_headers(req.requestHeaders)
     left = max(0, work.deadline - guard.reactor.seconds())
-    wait_ms = str(int(left * SECOND_MS)).encode()
+    wait_ms = str(int(left * names.SECOND_MS)).encode()
     fields.setRawHeaders(names.WAIT_MS, [wait_ms])
     own = guard.target
     base = f'http://{own["address"]}:{own["port"]}'.encode()
--- a/marjoramlead/headers.py
+++ b/marjoramlead/headers.py
@@ -20,20 +20,24 @@
     'REQUEST_ID',
     'RESERVE',
     'RETRY_AFTER',
-    'REVISION',
     'SERVICE',
     'VERDICT',
     'VOTE',
     'WAIT_MS',
     'first_value',
+    'is_own',
+    'wait_of',
 )
 
+OWN_PREFIX: Final = b'x-marjoram-'
+MAX_WAIT_DIGITS: Final = 12
+SECOND_MS: Final = 1000
+
 CUSTOMER: Final = b'X-Marjoram-Customer'
 SERVICE: Final = b'X-Marjoram-Service'
 REQUEST_ID: Final = b'X-Marjoram-Request-Id'
 KIND: Final = b'X-Marjoram-Kind'
 WAIT_MS: Final = b'X-Marjoram-Wait-Ms'
-REVISION: Final = b'X-Marjoram-Revision'
 RESERVE: Final = b'X-Marjoram-Reserve'
 VERDICT: Final = b'X-Marjoram-Verdict'
 REASON: Final = b'X-Marjoram-Reason'
@@ -64,3 +68,16 @@
     """Read the first value of a header; empty where there is none."""
     raw = fields.getRawHeaders(name)
     return raw[0].decode('latin-1') if raw else ''
+
+
+def is_own(name: bytes) -> bool:
+    """Whether a header is one that nodes exchange."""
+    return name.lower().startswith(OWN_PREFIX)
+
+
+def wait_of(fields: Headers) -> float | None:
+    """Read the seconds that a request may wait; None where it is not said."""
+    raw = first_value(fields, WAIT_MS)
+    if not raw.isdecimal() or len(raw) > MAX_WAIT_DIGITS:
+        return None
+    return int(raw) / SECOND_MS
--- a/marjoramlead/verdict.py
+++ b/marjoramlead/verdict.py
@@ -29,7 +29,6 @@
     NO_ROUTE = 'no_route'
     NO_TARGET = 'no_target'
     OVERLOAD = 'overload'
-    RETRY_BUDGET = 'retry_budget'
     SILENT = 'silent'
     TARGET_FAILED = 'target_failed'
     UPLOAD_SLOTS = 'upload_slots'
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -202,10 +202,13 @@
         path: str = '/moulds',
         key: str = '',
         size: int = 0,
+        **more: str,
     ) -> Call:
         """Make a call at a node; its end is noted when it comes."""
         request_id = f'r-{len(self.calls)}'
         fields = Headers({'X-Marjoram-Request-Id': [request_id]})
+        for name, text in more.items():
+            fields.setRawHeaders(name.replace('_', '-'), [text])
         if key:
             fields.setRawHeaders('Idempotency-Key', [key])
         made = Call(request_id, key, path, self.net.clock.seconds())
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -127,6 +127,26 @@
     assert refused['contracts/tamworth'].revision == 2
 
 
+def test_regions_that_part_for_minutes_agree_again():
+    world = World()
+    for name in NAMES:
+        world.do_publish(name, True)
+    world.settle()
+    for one in range(NODES):
+        for other in range(NODES):
+            if one % 2 != other % 2 or one % 2:
+                world.do_cut(one, other)
+    world.do_publish('contracts/tamworth', True)
+    for tick in range(300 * 4):
+        world.do_tick(tick % NODES, 0.25 / NODES)
+        while world.pending:
+            world.do_deliver(0)
+    assert held_by(world, 0)['contracts/tamworth'].revision == 4
+    assert held_by(world, 1)['contracts/tamworth'].revision == 1
+    world.settle()
+    world.check_settled()
+
+
 def test_gap_below_the_newest_revision_is_filled():
     world = World()
     for name in NAMES:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,6 +1,7 @@
 import msgspec
 
 from tests.mesh import GUARD, TARGET, Mesh
+from tests.samples import contract_text
 
 
 def only_end(call):
@@ -105,3 +106,46 @@
     for ended in refused:
         assert (ended.status, ended.verdict) == (503, 'not_run')
         assert int(ended.retry_after) >= 1
+
+
+def test_caller_cannot_speak_as_a_node():
+    mesh = Mesh(nodes=1)
+    for name in ('Claim', 'Reserve', 'Release'):
+        mesh.call(0, **{f'X_Marjoram_{name}': 'x'})
+    mesh.net.advance(0.3)
+    assert {only_end(call).status for call in mesh.calls} == {200}
+    assert not mesh.guards[0].reserved
+
+
+def test_nonsense_in_headers_is_no_fault():
+    mesh = Mesh(nodes=1)
+    mesh.call(0, X_Marjoram_Wait_Ms='9' * 5000)
+    mesh.call(0, X_Marjoram_Wait_Ms='soon')
+    mesh.net.advance(0.3)
+    assert {only_end(call).status for call in mesh.calls} == {200}
+
+
+def test_caller_may_shorten_its_wait():
+    mesh = Mesh(nodes=1)
+    call = mesh.call(0, 'POST', '/bookings', X_Marjoram_Wait_Ms='20')
+    mesh.net.advance(0.1)
+    assert only_end(call).verdict == 'may_have_run'
+    assert int((only_end(call).at - call.began) * 1000) <= 50
+
+
+def test_call_keeps_the_contract_that_it_began_with():
+    mesh = Mesh(nodes=1)
+    call = mesh.call(0)
+    mesh.net.pump()
+    mesh.publish('contracts/tamworth', contract_text(queue=1))
+    mesh.publish_hosts(leaving=(0,))
+    mesh.net.advance(0.2)
+    assert only_end(call).status == 200
+
+
+def test_upload_does_not_hold_up_a_look_up():
+    mesh = Mesh(nodes=1)
+    first = mesh.call(0, 'PUT', '/scans/1', size=300_000)
+    second = mesh.call(0)
+    mesh.net.advance(0.5)
+    assert (only_end(first).status, only_end(second).status) == (200, 200)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,7 +2,9 @@
 
 import jsonc
 import pytest
+from statsd import StatsClient
 
+from demo.fleet import free_ports
 from marjoramlead.counters import Counters
 from marjoramlead.daemon_cli import EXIT_BAD_SETTINGS, run
 from marjoramlead.errors import SettingsError
@@ -61,6 +63,13 @@
         load_settings(path)
 
 
+def test_statsd_that_is_not_there_costs_nothing():
+    counters = Counters(StatsClient('127.0.0.1', free_ports(1)[0]))
+    for _ in range(100):
+        counters.add('refused.overload')
+    assert counters.by_name() == {'refused.overload': 100}
+
+
 def test_counters_reach_statsd_where_one_is_set():
     sent = []
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -33,6 +33,8 @@
     for case in ET.parse(path).iter('testcase'):
         name = f'{case.get("classname")}::{case.get("name")}'
         has_failed = any(each.tag in {'failure', 'error'} for each in case)
+        if any(each.tag == 'skipped' for each in case):
+            continue
         (outcomes.failed if has_failed else outcomes.passed).add(name)
     return outcomes
 
