--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -2,6 +2,7 @@
 
 Each entry of ``tests/mutants.json`` names a mechanism, the change that
 disables it, and the tests that must then fail. The change is made in a copy.
+Tests that hang without the mechanism have noticed as well.
 """
 
 import json
@@ -15,6 +16,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 TESTS_FAILED = 1
+LIMIT_S = 60
+NOTICED = ('caught', 'hung')
 PARTS = ('marjoramlead', 'standins', 'tests', 'examples', 'pyproject.toml')
 
 
@@ -54,15 +57,23 @@
         if text.count(mutant['before']) != 1:
             return 'STALE'
         path.write_text(text.replace(mutant['before'], mutant['after']))
-        argv = [sys.executable, '-m', 'pytest', '-x', *mutant['tests']]
-        ended = subprocess.run(
-            argv,
-            cwd=folder,
-            check=False,
-            capture_output=True,
-            env={**os.environ, 'HYPOTHESIS_PROFILE': 'mutants'},
-        )
-    return 'caught' if ended.returncode == TESTS_FAILED else 'MISSED'
+        try:
+            code = run_tests(folder, mutant['tests'])
+        except subprocess.TimeoutExpired:
+            return 'hung'
+    return 'caught' if code == TESTS_FAILED else 'MISSED'
+
+
+def run_tests(folder: Path, tests: list[str]) -> int:
+    """Run some tests in a copy, for a bounded time."""
+    return subprocess.run(
+        [sys.executable, '-m', 'pytest', '-x', *tests],
+        cwd=folder,
+        check=False,
+        capture_output=True,
+        timeout=LIMIT_S,
+        env={**os.environ, 'HYPOTHESIS_PROFILE': 'mutants'},
+    ).returncode
 
 
 def main() -> int:
@@ -74,7 +85,7 @@
     for each in chosen:
         mutant = cast(Mutant, each)
         seen = outcome(mutant)
-        missed += seen != 'caught'
+        missed += seen not in NOTICED
         sys.stdout.write(f'{seen:7} {mutant["mechanism"]}\n')
         sys.stdout.flush()
     sys.stdout.write(f'{len(chosen) - missed} passed, {missed} failed\n')
