--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -10,7 +10,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from pathlib import Path
@@ -30,8 +30,8 @@
     running_fleet,
     start_node,
 )
+from demo.outcomes import Account, wait_until
 from marjoramlead.documents import OPERATIONS
-from marjoramlead.errors import MarjoramleadError
 from marjoramlead.node_client import fetch_status, publish
 from marjoramlead.porcelain import (
     check_contract,
@@ -48,41 +48,11 @@
 )
 EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
 IN_FORCE_LIMIT_S = 6.0
-START_LIMIT_S = 20.0
 WORKBOOK_BYTES = 3_000_000
 KEY_MS = 3000
 UPLOAD_UNDER_WAY_S = 0.4
 
 
-class Account:
-    """The outcomes stated so far, and whether they held."""
-
-    def __init__(self) -> None:
-        self.failed = 0
-
-    def state(self, outcome: str, *, held: bool) -> None:
-        """Print one outcome and remember whether it held."""
-        self.failed += not held
-        mark = 'ok    ' if held else 'FAILED'
-        sys.stdout.write(f'{mark} {outcome}\n')
-
-
-def wait_until(
-    condition: Callable[[], bool],
-    limit: float = START_LIMIT_S,
-) -> bool:
-    """Wait for a condition, for a bounded time."""
-    deadline = time.monotonic() + limit
-    while time.monotonic() < deadline:
-        try:
-            if condition():
-                return True
-        except MarjoramleadError:
-            time.sleep(0.1)
-        time.sleep(0.1)
-    return False
-
-
 def follow(fleet: Fleet, account: Account, name: str, revision: int) -> None:
     """State within what time a revision was in force on all nodes."""
     began = time.monotonic()
