One rule for a failing target: every failure halves its warmth

Starting from cold after a broken connection had become redundant once a closed connection holds the warmth back until the next report; and the test of that did not need it, as the report came first. The special case is gone, a failure of any kind halves the warmth, and a test holds back the report.

--- a/marjoramlead/admission.py
+++ b/marjoramlead/admission.py
@@ -13,7 +13,6 @@
 from marjoramlead.slow_start import (
     SlowStart,
     on_answer,
-    on_cold,
     on_failure,
     window_of,
 )
@@ -31,7 +30,6 @@
     'note_answer',
     'note_distress',
     'note_silence',
-    'restart_cold',
     'start_drain',
 )
 
@@ -150,15 +148,10 @@
 
 
 def note_distress(state: Admission) -> None:
-    """Give the target less after an answer that shows distress."""
+    """Give the target less after a failure that shows distress."""
     on_failure(state.warmth)
 
 
-def restart_cold(state: Admission) -> None:
-    """Slow down after a sign that the target has restarted."""
-    on_cold(state.warmth)
-
-
 def start_drain(state: Admission) -> list[Entry]:
     """Refuse new work from now on.
 
--- a/marjoramlead/guarding.py
+++ b/marjoramlead/guarding.py
@@ -12,7 +12,6 @@
     note_answer,
     note_distress,
     note_silence,
-    restart_cold,
 )
 from marjoramlead.claiming import (
     KeyClaim,
@@ -45,7 +44,6 @@
 ONCE: Final = frozenset(('at_most_once', 'upload'))
 KINDS: Final = frozenset(('idempotent', 'at_most_once', 'upload', 'internal'))
 CUT: Final = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN)
-COLD_SIGNS: Final = frozenset((Reason.CONNECT_FAILED, Reason.TARGET_FAILED))
 
 
 class Work(NamedTuple):
@@ -208,11 +206,12 @@
 
 
 def _note_failure(guard: Guard, refusal: Refusal, number: int) -> None:
-    if refusal.reason in COLD_SIGNS:
-        guard.counters.add('target.cold')
-        restart_cold(guard.admission)
-    elif note_silence(guard.admission, number, guard.reactor.seconds()):
-        guard.counters.add('target.distress')
+    now = guard.reactor.seconds()
+    if refusal.reason is not Reason.SILENT:
+        note_distress(guard.admission)
+    elif not note_silence(guard.admission, number, now):
+        return
+    guard.counters.add('target.distress')
 
 
 def _end(
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -76,6 +76,15 @@
     assert not mesh.total_collapses()
 
 
+def test_restart_is_suspected_before_the_report_comes():
+    mesh = warm_mesh()
+    mesh.net.advance(1)
+    mesh.watches[0].is_asking = True
+    mesh.start_target(0)
+    load(mesh, 60)
+    assert not mesh.total_collapses()
+
+
 def test_closed_connection_of_a_warm_target_costs_no_warmth():
     mesh = warm_mesh()
     mesh.net.reset(TARGET)
