--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -15,6 +15,7 @@
 
 from cyclopts import App, Parameter
 
+from bench.results import print_results
 from marjoramlead.agent import Agent, on_tick
 from marjoramlead.counters import Counters
 from marjoramlead.exchanges import on_request
@@ -210,8 +211,7 @@
     results = [measure(size) for size in sizes]
     for result in results:
         sys.stdout.write(f'{result}\n')
-    if as_json:
-        sys.stdout.write(f'{json.dumps({"results": results})}\n')
+    print_results(results, as_json=as_json)
 
 
 if __name__ == '__main__':
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -15,13 +15,14 @@
 
 from cyclopts import App, Parameter
 
-from bench.convergence import (
+from bench.fleets import (
     contract_text,
     fleet_of,
     paused,
     publish_first,
     wait_for,
 )
+from bench.results import print_results
 from demo.fleet import ADDRESS, Fleet, Member, start
 from marjoramlead.errors import NodeError
 from marjoramlead.node_client import fetch_status, publish
@@ -233,8 +234,7 @@
             results.append(case())
             sys.stdout.write(f'{results[-1]}\n')
             sys.stdout.flush()
-    if as_json:
-        sys.stdout.write(f'{json.dumps({"results": results})}\n')
+    print_results(results, as_json=as_json)
 
 
 if __name__ == '__main__':
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -4,7 +4,6 @@
 through another node, in turn, in one run.
 """
 
-import json
 import statistics
 import sys
 import tempfile
@@ -20,6 +19,7 @@
 
 from bench.load import Load, start_load
 from bench.processes import usage_of
+from bench.results import print_results
 from demo.fleet import (
     ADDRESS,
     Fleet,
@@ -210,8 +210,7 @@
 
         reactor.callWhenRunning(begin)
         reactor.run(installSignalHandlers=True)
-    if as_json:
-        sys.stdout.write(f'{json.dumps({"results": results})}\n')
+    print_results(results, as_json=as_json)
 
 
 def publish_leaving(fleet: Fleet, member: Member) -> None:
--- a/bench/service.py
+++ b/bench/service.py
@@ -7,7 +7,6 @@
 that return are cold.
 """
 
-import json
 import sys
 from collections import Counter
 from collections.abc import Callable, Sequence
@@ -15,6 +14,7 @@
 
 from cyclopts import App, Parameter
 
+from bench.results import print_results
 from tests.mesh import WORK_MS, Call, Mesh
 
 NODES = 4
@@ -194,8 +194,7 @@
             results.append(measure(case, way, rate))
             sys.stdout.write(f'{results[-1]}\n')
             sys.stdout.flush()
-    if as_json:
-        sys.stdout.write(f'{json.dumps({"results": results})}\n')
+    print_results(results, as_json=as_json)
 
 
 if __name__ == '__main__':
--- a/standins/target.py
+++ b/standins/target.py
@@ -1,7 +1,8 @@
 """A stand-in for a target: slots, cold start, load report, drain, deadlines.
 
 ``GET /load`` reports the load, ``GET /ran`` what ran. Anything else is work:
-it takes ``--work-ms``, or longer if the query says ``work_ms``. More at once
+it takes ``--work-ms``, or longer if the query says ``work_ms``. Work that
+cannot end within the wait that it came with is refused as not run. More at once
 than the target bears now counts as a collapse and is answered late with 500.
 """
 
@@ -71,6 +72,7 @@
 def handle(target: Target, req: StreamRequest) -> None:
     """Serve one request."""
     parts = urlsplit(req.uri.decode())
+    refused = _refused(target, req)
     if parts.path == '/load':
         req.answer(json_answer(OK, _load(target)))
     elif parts.path == '/ran':
@@ -78,8 +80,8 @@
     elif parts.path == '/drain':
         target.is_draining = True
         req.answer(json_answer(OK, {}))
-    elif target.is_draining:
-        refusal = Refusal(Reason.DRAINING, Verdict.NOT_RUN)
+    elif refused:
+        refusal = Refusal(refused, Verdict.NOT_RUN)
         req.answer(refusal_answer(refusal, _id_of(req)))
     else:
         served = Deferred.fromCoroutine(_work(target, req))
@@ -87,6 +89,15 @@
         served.addErrback(_on_failure, target, req)
 
 
+def _refused(target: Target, req: StreamRequest) -> Reason | None:
+    if target.is_draining:
+        return Reason.DRAINING
+    wait = names.wait_of(req.requestHeaders)
+    if wait is not None and wait * SECOND_MS < _work_ms(target, req):
+        return Reason.DEADLINE
+    return None
+
+
 def bears(target: Target) -> int:
     """Count the requests at once that the target can take now."""
     warmed = min(target.answers, target.warm_answers)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -129,7 +129,8 @@
     mesh = Mesh(nodes=1)
     call = mesh.call(0, 'POST', '/bookings', X_Marjoram_Wait_Ms='20')
     mesh.net.advance(0.1)
-    assert only_end(call).verdict == 'may_have_run'
+    assert only_end(call).verdict == 'not_run'
+    assert not mesh.ran[call.request_id]
     assert int((only_end(call).at - call.began) * 1000) <= 50
 
 
