--- a/bench/variant.py
+++ b/bench/variant.py
@@ -12,6 +12,7 @@
 
 import sys
 from collections.abc import Callable, Sequence
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -19,6 +20,8 @@
 
 from marjoramlead import agent, daemon_cli, source
 from marjoramlead.agent import Agent
+from marjoramlead.clock import Reactor
+from marjoramlead.loop import install_loop
 from marjoramlead.peers import PeerView
 
 FANOUT = 4
@@ -102,10 +105,21 @@
         source.WATCH_MS = 0  # type: ignore[misc]  # another way
 
 
+def install_seeded(seed: str) -> Reactor:
+    """Install the loop, and make the node's random choices repeatable."""
+    reactor = install_loop()
+    from marjoramlead import daemon  # needs the reactor
+
+    setattr(daemon, Random.__name__, partial(Random, seed))
+    return reactor
+
+
 @app.default
 def run(*, way: str, settings: Path) -> int:
     """Run the node."""
     apply_way(way)
+    seeded = partial(install_seeded, settings.stem)
+    setattr(daemon_cli, install_loop.__name__, seeded)
     return daemon_cli.run(settings=settings)
 
 
