--- a/marjoramlead/collecting.py
+++ b/marjoramlead/collecting.py
@@ -1,4 +1,4 @@
-"""Collect a small request body whole, so that it can be sent again."""
+"""Collect a request body whole, so that it can be sent again."""
 
 from twisted.internet.defer import CancelledError
 
@@ -8,22 +8,38 @@
 __all__ = ('collect_body',)
 
 
-async def collect_body(body: BodyStream) -> WholeBody | Refusal:
-    """Wait for all of a body whose length is known and small."""
-    chunks = _Chunks()
+async def collect_body(
+    body: BodyStream,
+    limit: float = float('inf'),
+) -> WholeBody | Refusal:
+    """Wait for all of a body.
+
+    Parameters
+    ----------
+    body
+        That nobody has taken yet.
+    limit
+        Bytes that it may have; the rest of a larger one is dropped.
+    """
+    chunks = _Chunks(limit)
     try:
         await body.startProducing(chunks)
     except CancelledError:
         raise
     except Exception:  # whatever cut it, it is not whole
         return Refusal(Reason.BODY_CUT, Verdict.NOT_RUN, 0)
+    if chunks.left < 0:
+        return Refusal(Reason.BODY_TOO_LARGE, Verdict.NOT_RUN, 0)
     return WholeBody(b''.join(chunks.taken))
 
 
 class _Chunks:
-    def __init__(self) -> None:
+    def __init__(self, limit: float) -> None:
         self.taken: list[bytes] = []
+        self.left = limit
 
     def write(self, chunk: bytes) -> None:
         """Take one chunk."""
-        self.taken.append(chunk)
+        self.left -= len(chunk)
+        if self.left >= 0:
+            self.taken.append(chunk)
--- /dev/null
+++ b/marjoramlead/dialect.py
@@ -0,0 +1,48 @@
+"""Header names that a deployment uses towards callers and targets.
+
+The product's own names are the default; an adapter gives those of its
+platform. Names between nodes are fixed, see ``hops``.
+"""
+
+from typing import Final, NamedTuple
+
+__all__ = ('OWN_DIALECT', 'Dialect')
+
+
+class Dialect(NamedTuple):
+    """Names of headers, in lower case.
+
+    Attributes
+    ----------
+    request_id
+        Identifies one attempt of a client; echoed by targets.
+    wait_ms
+        Milliseconds that the sender will still wait.
+    seal
+        Proof that an answer is a target's own.
+    expected_target
+        Id of the only target that may run the request.
+    not_run
+        Set by a target that did not run the request.
+    caller_service
+        Service of the host that the request came from.
+    load
+        ``running,waiting,slots`` of the target that answers.
+    target_id
+        Id of the target that answers.
+    cold_ms
+        In answers to probes: milliseconds for which the target stays cold.
+    """
+
+    request_id: bytes = b'x-marjoram-request-id'
+    wait_ms: bytes = b'x-marjoram-wait-ms'
+    seal: bytes = b'x-marjoram-seal'
+    expected_target: bytes = b'x-marjoram-expected-target'
+    not_run: bytes = b'x-marjoram-not-run'
+    caller_service: bytes = b'x-marjoram-caller-service'
+    load: bytes = b'x-marjoram-load'
+    target_id: bytes = b'x-marjoram-target-id'
+    cold_ms: bytes = b'x-marjoram-cold-ms'
+
+
+OWN_DIALECT: Final = Dialect()
--- /dev/null
+++ b/marjoramlead/feed.py
@@ -0,0 +1,221 @@
+"""Follow the store: list it, watch it, and ask peers while it is away.
+
+Each node watches for itself. A node that cannot reach the store, or hears
+from another node of a revision that its own watch has not told, asks peers
+for what is newer; a silent connection is found in the same way.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Final, NamedTuple, Protocol
+
+from expression import Result
+from twisted.internet.defer import Deferred
+
+from marjoramlead.clock import Clock
+from marjoramlead.errors import Fault
+from marjoramlead.events import emit
+from marjoramlead.hops import FEED_PATH, decode_feed, feed_records
+from marjoramlead.limits import Wait
+from marjoramlead.upstream import Address, Outgoing, Pool, send
+from marjoramlead.world import (
+    Record,
+    World,
+    apply_records,
+    confirm,
+    drop_absent,
+)
+
+__all__ = ('Feed', 'News', 'Store', 'nudge', 'start_feed')
+
+# How long a watch waits for an event. A connection that went silent is found
+# after this and the answer limit, within the three seconds that a node has
+# to be in touch again; longer waits would save calls to the store.
+WATCH_S: Final = 2.4
+# Between two tries while the store does not answer: first, and at most.
+RETRY_FIRST_S: Final = 0.15
+RETRY_MAX_S: Final = 1.0
+# A higher revision heard of elsewhere is awaited on the own watch so long.
+NUDGE_S: Final = 0.25
+PEER_LIMIT_S: Final = 0.6
+HTTP_OK: Final = 200
+
+
+class News(NamedTuple):
+    """What the store told.
+
+    Attributes
+    ----------
+    is_whole
+        Whether the records are all that it holds.
+    """
+
+    records: list[Record]
+    revision: int
+    is_whole: bool
+
+
+class Store(Protocol):
+    """The store of the platform, to be read only."""
+
+    async def list_all(self) -> Result[News, Fault]:
+        """Read all that it holds."""
+
+    async def watch(self, after: int, wait_s: float) -> Result[News, Fault]:
+        """Wait for what changes after a revision.
+
+        A fault whose path is ``history`` means that this is not known any
+        more, and that all must be read again.
+        """
+
+
+@dataclass(slots=True)
+class Feed:
+    """How far this node has followed the store.
+
+    Attributes
+    ----------
+    peers
+        Tells the addresses of other nodes.
+    on_news
+        Called after anything has changed.
+    after
+        Revision that the own watch has reached; 0 before the first listing.
+    heard
+        Highest revision that any node has spoken of.
+    failures
+        Calls to the store that failed in a row.
+    """
+
+    world: World
+    store: Store
+    peers: Callable[[], list[Address]]
+    on_news: Callable[[], None]
+    reactor: Clock
+    rng: Random
+    after: int = 0
+    heard: int = 0
+    failures: int = 0
+    is_asking: bool = False
+
+
+def start_feed(feed: Feed) -> None:
+    """Follow the store from now on."""
+    Deferred.fromCoroutine(_follow(feed)).addErrback(
+        lambda failure: emit('bug', error=failure.getTraceback()),
+    )
+
+
+def nudge(feed: Feed, revision: int) -> None:
+    """Hear that some node knows of a revision."""
+    if revision <= feed.heard or revision <= feed.world.revision:
+        return
+    feed.heard = revision
+    feed.reactor.callLater(NUDGE_S, _check_heard, feed, revision)
+
+
+def _check_heard(feed: Feed, revision: int) -> None:
+    if feed.world.revision < revision:
+        emit('behind', known=feed.world.revision, heard=revision)
+        _ask_soon(feed)
+
+
+async def _follow(feed: Feed) -> None:
+    while True:  # noqa: WPS457  # ends with the process
+        if feed.after:
+            told = await feed.store.watch(feed.after, WATCH_S)
+        else:
+            told = await feed.store.list_all()
+        if told.is_ok():
+            _take(feed, told.ok)
+        else:
+            await _on_fault(feed, told.error)
+
+
+def _take(feed: Feed, news: News) -> None:
+    now = feed.reactor.seconds()
+    if feed.failures:
+        emit('store_regained', failures=feed.failures)
+    feed.failures = 0
+    confirm(feed.world, news.revision, now, now)
+    changed = apply_records(feed.world, news.records, now)
+    if news.is_whole:
+        keys = [record.key for record in news.records]
+        changed += drop_absent(feed.world, keys, news.revision, now)
+    feed.after = news.revision
+    _announce(feed, changed, 'store')
+
+
+async def _on_fault(feed: Feed, fault: Fault) -> None:
+    if fault.path == 'history':
+        emit('store_history_lost', after=feed.after)
+        feed.after = 0
+        return
+    if not feed.failures:
+        emit('store_lost', reason=fault.reason, revision=feed.world.revision)
+    feed.failures += 1
+    _ask_soon(feed)
+    longest = min(RETRY_MAX_S, RETRY_FIRST_S * 2**feed.failures)
+    await _sleep(feed.reactor, feed.rng.uniform(longest / 2, longest))
+
+
+def _ask_soon(feed: Feed) -> None:
+    if feed.is_asking:
+        return
+    feed.is_asking = True
+    asked = Deferred.fromCoroutine(_ask_peer(feed))
+    asked.addErrback(
+        lambda failure: emit('bug', error=failure.getTraceback()),
+    )
+    asked.addBoth(lambda _result: _end_asking(feed))
+
+
+def _end_asking(feed: Feed) -> None:
+    feed.is_asking = False
+
+
+async def _ask_peer(feed: Feed) -> None:
+    peers = feed.peers()
+    if not peers:
+        return
+    address = feed.rng.choice(peers)
+    uri = FEED_PATH + b'?after=%d' % feed.world.revision
+    pool = Pool(feed.reactor, address, 0)
+    outgoing = Outgoing(b'GET', uri, [(b'Host', b'node')], b'')
+    wait = Wait(feed.reactor, send(pool, outgoing))
+    wait.end_at(feed.reactor.seconds() + PEER_LIMIT_S)
+    sent = await wait.result()
+    if sent is None or sent.is_error() or sent.ok.status != HTTP_OK:
+        return
+    decoded = decode_feed(sent.ok.body)
+    if decoded.is_error():
+        emit('hop_unreadable', why=decoded.error)
+        return
+    document = decoded.ok
+    now = feed.reactor.seconds()
+    if document['revision'] < feed.world.revision:
+        return
+    confirm(feed.world, document['revision'], now - document['age_s'], now)
+    changed = apply_records(feed.world, feed_records(document), now)
+    _announce(feed, changed, f'{address[0]}')
+
+
+def _announce(feed: Feed, changed: list[Record], origin: str) -> None:
+    if not changed:
+        return
+    emit(
+        'news',
+        origin=origin,
+        revision=feed.world.revision,
+        keys=[record.key for record in changed[:10]],
+        count=len(changed),
+        version=feed.world.table.version if feed.world.table else 0,
+    )
+    feed.on_news()
+
+
+def _sleep(reactor: Clock, seconds: float) -> Awaitable[None]:
+    slept: Deferred[None] = Deferred()
+    reactor.callLater(seconds, slept.callback, None)
+    return slept
--- /dev/null
+++ b/marjoramlead/hops.py
@@ -0,0 +1,217 @@
+"""Messages between the node that takes a request and the target's node.
+
+A request travels as it is, with its terms in one header of its own; the
+answer carries a report in another. Both are JSON, typed by the schema.
+"""
+
+from typing import Final, NamedTuple
+
+import msgspec
+from expression import Error, Ok, Result
+
+from marjoramlead.errors import Fault
+from marjoramlead.generated.hop_types import (
+    FateQuestion,
+    FeedDocument,
+    FeedRecord,
+    HopReport,
+    JobTerms,
+)
+from marjoramlead.routes import Repeat
+from marjoramlead.target_queue import LoadReport
+from marjoramlead.upstream import Fields
+from marjoramlead.verdict import Reason, Refusal, Verdict
+from marjoramlead.world import Record, World, records_after
+
+__all__ = (
+    'FATE_PATH',
+    'FEED_PATH',
+    'JOB_HEADER',
+    'REPORT_HEADER',
+    'Job',
+    'decode_feed',
+    'decode_job',
+    'decode_question',
+    'decode_report',
+    'encode_job',
+    'encode_question',
+    'encode_report',
+    'feed_document',
+    'feed_records',
+    'load_of',
+    'refusal_of',
+)
+
+JOB_HEADER: Final = b'x-marjoram-job'
+REPORT_HEADER: Final = b'x-marjoram-report'
+FATE_PATH: Final = b'/-/marjoram/fate'
+FEED_PATH: Final = b'/-/marjoram/feed'
+SECOND_MS: Final = 1000
+
+JOB_DECODER: Final = msgspec.json.Decoder(JobTerms)
+REPORT_DECODER: Final = msgspec.json.Decoder(HopReport)
+QUESTION_DECODER: Final = msgspec.json.Decoder(FateQuestion)
+FEED_DECODER: Final = msgspec.msgpack.Decoder(FeedDocument)
+
+
+class Job(NamedTuple):
+    """One request on its way to one target.
+
+    Attributes
+    ----------
+    headers
+        Those that are meant for the target, none of the hop's own.
+    caller
+        Service of the host that the request came from.
+    may_wait
+        Whether it may wait for a slot, or is to start at once or not at all.
+    aim_at, deadline
+        On the clock of the node that holds the job.
+    """
+
+    request_id: str
+    target_id: str
+    route: str
+    repeat: Repeat
+    priority: int
+    aim_at: float
+    deadline: float
+    caller: str
+    may_wait: bool
+    method: bytes
+    uri: bytes
+    headers: Fields
+    body: bytes
+
+
+def encode_job(job: Job, now: float) -> bytes:
+    """Write the terms of a job; times as what is left of them."""
+    terms: JobTerms = {
+        'request_id': job.request_id,
+        'target_id': job.target_id,
+        'route': job.route,
+        'repeat': job.repeat,
+        'priority': job.priority,
+        'wait_ms': (job.deadline - now) * SECOND_MS,
+        'aim_ms': (job.aim_at - now) * SECOND_MS,
+        'caller': job.caller,
+        'may_wait': job.may_wait,
+    }
+    return msgspec.json.encode(terms)
+
+
+def decode_job(raw: bytes) -> Result[JobTerms, Fault]:
+    """Read the terms of a job."""
+    try:
+        return Ok(JOB_DECODER.decode(raw))
+    except msgspec.MsgspecError as exc:
+        return Error(Fault('job', str(exc)))
+
+
+def encode_report(
+    load: LoadReport,
+    refusal: Refusal | None,
+    revision: int,
+) -> bytes:
+    """Write how a request ended and what the target's load is."""
+    report: HopReport = {
+        'verdict': Verdict.RAN.value,
+        'reason': '',
+        'retry_after': 0,
+        'reached': True,
+        'room': load.room,
+        'wait_s': min(load.wait_s, SECOND_MS),
+        'work_s': load.work_s,
+        'revision': revision,
+    }
+    if refusal is not None:
+        report['verdict'] = refusal.verdict.value
+        report['reason'] = refusal.reason.value
+        report['retry_after'] = refusal.retry_after
+        report['reached'] = refusal.reached
+    return msgspec.json.encode(report)
+
+
+def decode_report(raw: str) -> Result[HopReport, Fault]:
+    """Read a report."""
+    try:
+        return Ok(REPORT_DECODER.decode(raw))
+    except msgspec.MsgspecError as exc:
+        return Error(Fault('report', str(exc)))
+
+
+def refusal_of(report: HopReport) -> Refusal | None:
+    """Read the refusal in a report; None where the target answered."""
+    if report['verdict'] == Verdict.RAN.value:
+        return None
+    try:
+        return Refusal(
+            Reason(report['reason']),
+            Verdict(report['verdict']),
+            report['retry_after'],
+            report['reached'],
+        )
+    except ValueError:
+        return Refusal(Reason.BAD_ANSWER, Verdict.MAY_HAVE_RUN, 0, reached=True)
+
+
+def load_of(report: HopReport) -> LoadReport:
+    """Read the target's load in a report."""
+    return LoadReport(report['room'], report['wait_s'], report['work_s'])
+
+
+def encode_question(request_id: str, sent_ago_s: float) -> bytes:
+    """Write the question for the fate of a request."""
+    question: FateQuestion = {
+        'request_id': request_id,
+        'sent_ago_s': sent_ago_s,
+    }
+    return msgspec.json.encode(question)
+
+
+def decode_question(raw: bytes) -> Result[FateQuestion, Fault]:
+    """Read the question for the fate of a request."""
+    try:
+        return Ok(QUESTION_DECODER.decode(raw))
+    except msgspec.MsgspecError as exc:
+        return Error(Fault('question', str(exc)))
+
+
+def feed_document(world: World, after: int, now: float) -> bytes:
+    """Write what this node knows of the store beyond a revision."""
+    records: list[FeedRecord] = [
+        {
+            'key': record.key,
+            'text': (record.body or b'').decode('latin-1'),
+            'revision': record.revision,
+            'is_deleted': record.body is None,
+        }
+        for record in records_after(world, after)
+    ]
+    age = min(now - world.confirmed_at, float(SECOND_MS))
+    document: FeedDocument = {
+        'revision': world.revision,
+        'age_s': age,
+        'records': records,
+    }
+    return msgspec.msgpack.encode(document)
+
+
+def decode_feed(raw: bytes) -> Result[FeedDocument, Fault]:
+    """Read what a peer knows of the store."""
+    try:
+        return Ok(FEED_DECODER.decode(raw))
+    except msgspec.MsgspecError as exc:
+        return Error(Fault('feed', str(exc)))
+
+
+def feed_records(document: FeedDocument) -> list[Record]:
+    """Read the records of a peer's feed."""
+    return [
+        Record(
+            each['key'],
+            None if each['is_deleted'] else each['text'].encode('latin-1'),
+            each['revision'],
+        )
+        for each in document['records']
+    ]
--- /dev/null
+++ b/marjoramlead/limits.py
@@ -0,0 +1,56 @@
+"""Bound a wait by deadlines, told apart from a cancellation by the caller."""
+
+from collections.abc import Coroutine
+from typing import Generic, TypeVar
+
+from twisted.internet.defer import CancelledError, Deferred
+
+from marjoramlead.clock import Clock, Timer
+
+__all__ = ('Wait',)
+
+T = TypeVar('T')
+
+
+class Wait(Generic[T]):
+    """A result that is awaited until a deadline.
+
+    Attributes
+    ----------
+    is_over
+        Whether a deadline has ended the wait.
+    """
+
+    def __init__(
+        self,
+        reactor: Clock,
+        coroutine: 'Coroutine[Deferred[object], object, T]',
+    ) -> None:
+        self.is_over = False
+        self._reactor = reactor
+        self._pending: Deferred[T] = Deferred.fromCoroutine(coroutine)
+        self._timers: list[Timer] = []
+
+    def end_at(self, deadline: float) -> Timer:
+        """Add a deadline; it can be cancelled."""
+        left = max(0, deadline - self._reactor.seconds())
+        timer = self._reactor.callLater(left, self._end)
+        self._timers.append(timer)
+        return timer
+
+    async def result(self) -> T | None:
+        """Return the result, or None if a deadline came first."""
+        try:
+            return await self._pending
+        except CancelledError:
+            if self.is_over:
+                return None
+            raise
+        finally:
+            for timer in self._timers:
+                if timer.active():
+                    timer.cancel()
+
+    def _end(self) -> None:
+        self.is_over = True
+        self._pending.cancel()
--- /dev/null
+++ b/marjoramlead/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Run marjoramlead on the users' platform: all that knows its names."""
--- /dev/null
+++ b/marjoramlead/platform/__main__.py
@@ -0,0 +1,73 @@
+"""Run the node of this host: ``python -m marjoramlead.platform``."""
+
+import os
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import TypeVar
+
+from marjoramlead.errors import SettingsError
+from marjoramlead.events import emit, start_events
+from marjoramlead.loop import install_loop
+from marjoramlead.platform.names import SETTINGS_VARIABLE
+
+EXIT_BAD_SETTINGS = 2
+
+T = TypeVar('T')
+
+
+def main() -> int:
+    """Run the node until it is stopped; returns the exit status."""
+    reactor = install_loop()
+    from marjoramlead.platform.decoding import (  # needs the reactor
+        decode_record,
+    )
+    from marjoramlead.platform.names import DIALECT
+    from marjoramlead.platform.settings import load_terms
+    from marjoramlead.platform.store import PlatformStore
+    from marjoramlead.sidecar import build_sidecar, start_sidecar
+
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
+    try:
+        terms = load_terms(path)
+    except SettingsError as exc:
+        sys.stderr.write(f'marjoramlead: {exc}\n')
+        return EXIT_BAD_SETTINGS
+    start_events(terms.host)
+    sidecar = build_sidecar(
+        terms,
+        reactor,
+        DIALECT,
+        decode_record,
+        lambda metrics: PlatformStore(reactor, terms.store, metrics),
+        _reloader(path, load_terms),
+    )
+    reactor.callWhenRunning(start_sidecar, sidecar)
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+def _reloader(
+    path: Path,
+    load: Callable[[Path], T],
+) -> Callable[[], T | None]:
+    """Return what reads the settings again once their text has changed."""
+    known = path.read_bytes()
+
+    def reload() -> T | None:
+        nonlocal known
+        try:
+            text = path.read_bytes()
+            if text == known:
+                return None
+            known = text
+            return load(path)
+        except (OSError, SettingsError) as exc:
+            emit('reload_refused', reason=str(exc))
+            return None
+
+    return reload
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/marjoramlead/platform/names.py
@@ -0,0 +1,30 @@
+"""Names of the platform that are not fields of a document."""
+
+from typing import Final
+
+from marjoramlead.dialect import Dialect
+
+__all__ = (
+    'CONFIG_KEY',
+    'DIALECT',
+    'OUTAGE_PREFIX',
+    'SETTINGS_VARIABLE',
+    'TARGET_PREFIX',
+)
+
+SETTINGS_VARIABLE: Final = 'MARJORAMLEAD_NODE_FILE'
+CONFIG_KEY: Final = 'op/config'
+OUTAGE_PREFIX: Final = 'op/evacuate/'
+TARGET_PREFIX: Final = 'servers/'
+
+DIALECT: Final = Dialect(
+    request_id=b'x-request-id',
+    wait_ms=b'x-deadline-ms',
+    seal=b'x-server-seal',
+    expected_target=b'x-expected-instance',
+    not_run=b'x-not-executed',
+    caller_service=b'x-caller-service',
+    load=b'x-server-load',
+    target_id=b'x-instance-id',
+    cold_ms=b'x-cold-ms',
+)
--- /dev/null
+++ b/marjoramlead/platform/settings.py
@@ -0,0 +1,71 @@
+"""Read the settings that the platform renders from ``deploy/node.template``."""
+
+from pathlib import Path
+from typing import Final, cast
+
+from marjoramlead.documents import parse_object, schema_fault
+from marjoramlead.errors import SettingsError
+from marjoramlead.generated import sidecar_validator
+from marjoramlead.generated.sidecar_types import SidecarSettings
+from marjoramlead.platform.decoding import read_address, read_time
+from marjoramlead.repeat_budget import BudgetTerms
+from marjoramlead.settings import read_text
+from marjoramlead.sidecar import SidecarTerms
+
+__all__ = ('load_terms',)
+
+# What a deployment without such a bound is taken to grant.
+DEFAULT_BOUNDS: Final = {  # noqa: WPS407  # nothing changes it
+    'Grace': '6s',
+    'RetryBudgetRatio': '0.2',
+    'BudgetSlack': '60',
+    'BudgetWindow': '10s',
+}
+
+
+def load_terms(path: Path) -> SidecarTerms:
+    """Read and check the settings file of a node.
+
+    Raises
+    ------
+    SettingsError
+        Names the file, the path within it and the reason.
+    """
+    text = read_text(path)
+    if text.is_error():
+        raise SettingsError(f'{path}: {text.error}')
+    parsed = parse_object(text.ok)
+    if parsed.is_error():
+        raise SettingsError(f'{path}: {parsed.error}')
+    fault = schema_fault(sidecar_validator.validate, parsed.ok)
+    if fault is not None:
+        raise SettingsError(f'{path}: {fault}')
+    try:
+        return _terms(cast(SidecarSettings, parsed.ok))
+    except (TypeError, ValueError) as exc:
+        raise SettingsError(f'{path}: {exc}') from exc
+
+
+def _terms(settings: SidecarSettings) -> SidecarTerms:
+    bounds = {**DEFAULT_BOUNDS, **settings['bounds']}
+    control = settings.get('control')
+    return SidecarTerms(
+        host=settings['host'],
+        data_centre=settings['data_centre'],
+        service=settings['service'],
+        target=read_address(settings['target']),
+        outbound=read_address(settings['outbound']),
+        inbound=read_address(settings['inbound']),
+        ready=read_address(settings['ready']),
+        control=read_address(control) if control else None,
+        metrics_port=settings.get('metrics_port'),
+        store=read_address(settings['store']),
+        seeds=tuple(map(read_address, settings.get('seeds', ()))),
+        heartbeat_s=read_time(settings['heartbeat']),
+        grace_s=read_time(bounds['Grace']),
+        budget=BudgetTerms(
+            ratio=float(bounds['RetryBudgetRatio']),
+            slack=float(bounds['BudgetSlack']),
+            window_s=read_time(bounds['BudgetWindow']),
+        ),
+    )
--- a/marjoramlead/reports.py
+++ b/marjoramlead/reports.py
@@ -90,5 +90,5 @@
     request_id: str
     reason: str
     verdict: str
-    retry_after: int
+    retry_after: float
     tried: list[str]
--- /dev/null
+++ b/marjoramlead/sidecar.py
@@ -0,0 +1,327 @@
+"""The node beside one target: put its parts together and run them."""
+
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from random import Random
+from typing import Final, NamedTuple
+
+from twisted.internet.task import LoopingCall
+from twisted.web.http_headers import Headers
+
+from marjoramlead.clock import Reactor
+from marjoramlead.dialect import Dialect
+from marjoramlead.dispatch import Dispatcher
+from marjoramlead.events import emit
+from marjoramlead.feed import Feed, Store, nudge, start_feed
+from marjoramlead.http_server import Handler, StreamRequest, make_site
+from marjoramlead.inbound import handle_node
+from marjoramlead.ingress import Ingress, handle_request
+from marjoramlead.ledger import Ledger
+from marjoramlead.metrics import Metrics, metrics_text, watch_value
+from marjoramlead.placement import Outlooks
+from marjoramlead.problems import Answer
+from marjoramlead.repeat_budget import BudgetTerms, RepeatBudget
+from marjoramlead.routes import SplitState
+from marjoramlead.target_gate import (
+    TargetGate,
+    check_target,
+    follow_world,
+    start_gate_drain,
+)
+from marjoramlead.upstream import Address, Pool
+from marjoramlead.world import Decode, World, release_held
+
+__all__ = ('Sidecar', 'SidecarTerms', 'build_sidecar', 'start_sidecar')
+
+TICK_S: Final = 0.25
+# Between two probes of the local target: a target may turn cold unseen.
+PROBE_PERIOD_S: Final = 2.0
+# A connection that a target may have forgotten is not used again after this.
+TARGET_IDLE_S: Final = 4.0
+# Between two looks at the settings file, which may change without a signal.
+SETTINGS_PERIOD_S: Final = 1.0
+# Clients are told within two questions for readiness, a second apart.
+NOTICE_S: Final = 2.6
+# A node that is stopping waits so long after the last request.
+QUIET_S: Final = 0.5
+# What is left of the time to stop when the node goes in any case.
+STOP_SPARE_S: Final = 0.3
+
+
+class SidecarTerms(NamedTuple):
+    """Settings of a node, checked.
+
+    Attributes
+    ----------
+    host
+        Name of this host.
+    service
+        Service of the local target.
+    seeds
+        Control addresses of other nodes, of use before any target is known.
+    grace_s
+        Time to stop after SIGTERM.
+    """
+
+    host: str
+    data_centre: str
+    service: str
+    target: Address
+    outbound: Address
+    inbound: Address
+    ready: Address
+    control: Address | None
+    metrics_port: int | None
+    store: Address
+    seeds: tuple[Address, ...]
+    heartbeat_s: float
+    grace_s: float
+    budget: BudgetTerms
+
+
+Reload = Callable[[], SidecarTerms | None]
+
+
+@dataclass(slots=True)
+class Sidecar:
+    """The parts of one node.
+
+    Attributes
+    ----------
+    reload
+        Reads the settings again; None where they did not change.
+    stop_at
+        When the node ends at the latest, once it was told to stop.
+    """
+
+    terms: SidecarTerms
+    reactor: Reactor
+    world: World
+    gate: TargetGate
+    dispatcher: Dispatcher
+    ingress: Ingress
+    feed: Feed
+    metrics: Metrics
+    reload: Reload
+    stop_from: float = 0
+    stop_at: float = 0
+    next_probe_at: float = 0
+    next_reload_at: float = 0
+    loops: list[LoopingCall] = field(default_factory=list)
+
+
+def build_sidecar(
+    terms: SidecarTerms,
+    reactor: Reactor,
+    dialect: Dialect,
+    decode: Decode,
+    store: Callable[[Metrics], Store],
+    reload: Reload,
+) -> Sidecar:
+    """Put the parts of a node together; nothing listens yet."""
+    rng = Random()
+    metrics = Metrics()
+    world = World(decode)
+    gate = TargetGate(
+        terms.target,
+        world,
+        dialect,
+        reactor,
+        Pool(reactor, terms.target, TARGET_IDLE_S),
+        Ledger(reactor.seconds()),
+        metrics,
+    )
+    sidecar: Sidecar
+
+    def on_news() -> None:
+        _follow(sidecar)
+
+    feed = Feed(
+        world,
+        store(metrics),
+        lambda: _peers(sidecar),
+        on_news,
+        reactor,
+        rng,
+    )
+    dispatcher = Dispatcher(
+        world,
+        gate,
+        Outlooks(rng),
+        RepeatBudget(terms.budget, lambda: len(world.targets)),
+        reactor,
+        metrics,
+        terms.data_centre,
+        lambda: sidecar.terms.service,
+        terms.inbound[1],
+        lambda revision: nudge(feed, revision),
+    )
+    ingress = Ingress(dispatcher, dialect, SplitState(rng))
+    sidecar = Sidecar(
+        terms,
+        reactor,
+        world,
+        gate,
+        dispatcher,
+        ingress,
+        feed,
+        metrics,
+        reload,
+    )
+    return sidecar
+
+
+def start_sidecar(sidecar: Sidecar) -> None:
+    """Listen, and begin to follow the store."""
+    terms = sidecar.terms
+    _listen(sidecar, terms.outbound, lambda req: _on_client(sidecar, req))
+    _listen(sidecar, terms.inbound, lambda req: handle_node(sidecar.gate, req))
+    _listen(sidecar, terms.ready, lambda req: _answer_ready(sidecar, req))
+    if terms.control is not None:
+        _listen(
+            sidecar,
+            terms.control,
+            lambda req: handle_node(sidecar.gate, req),
+        )
+    if terms.metrics_port is not None:
+        address = (terms.inbound[0], terms.metrics_port)
+        _listen(sidecar, address, lambda req: _answer_metrics(sidecar, req))
+    _watch_values(sidecar)
+    _catch_signals(sidecar)
+    start_feed(sidecar.feed)
+    ticks = LoopingCall(_tick, sidecar)
+    ticks.start(TICK_S, now=False)
+    sidecar.loops.append(ticks)
+    emit('start', service=terms.service, target=terms.target)
+
+
+def _listen(sidecar: Sidecar, address: Address, handler: Handler) -> None:
+    site = make_site(handler, sidecar.reactor)
+    sidecar.reactor.listenTCP(address[1], site, interface=address[0])
+
+
+def _on_client(sidecar: Sidecar, req: StreamRequest) -> None:
+    handle_request(sidecar.ingress, req)
+
+
+def _answer_ready(sidecar: Sidecar, req: StreamRequest) -> None:
+    is_ready = sidecar.world.table is not None and not sidecar.stop_at
+    status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
+    req.answer(Answer(status, Headers(), b''))
+
+
+def _answer_metrics(sidecar: Sidecar, req: StreamRequest) -> None:
+    fields = Headers({b'Content-Type': [b'text/plain; version=0.0.4']})
+    text = metrics_text(sidecar.metrics)
+    req.answer(Answer(HTTPStatus.OK, fields, text))
+
+
+def _watch_values(sidecar: Sidecar) -> None:
+    queue = sidecar.gate.queue
+    world = sidecar.world
+    now = sidecar.reactor.seconds
+    for name, text, read in (
+        ('target_running', 'At the target.', lambda: len(queue.running)),
+        ('target_waiting', 'Waiting for it.', lambda: len(queue.waiting)),
+        ('target_slots', 'Slots of the target.', lambda: queue.slots),
+        (
+            'target_cold_seconds',
+            'For which the target stays cold.',
+            lambda: max(0, queue.cold_until - now()),
+        ),
+        (
+            'news_age_seconds',
+            'Since the store was known to hold nothing newer.',
+            lambda: now() - world.confirmed_at,
+        ),
+        ('revision', 'Of the store, followed.', lambda: world.revision),
+        (
+            'version',
+            'Of the routing in force.',
+            lambda: world.table.version if world.table else 0,
+        ),
+    ):
+        watch_value(sidecar.metrics, name, text, read)
+
+
+def _peers(sidecar: Sidecar) -> list[Address]:
+    port = sidecar.terms.inbound[1]
+    own = sidecar.terms.inbound[0]
+    hosts = {entry.address[0] for entry in sidecar.world.targets.values()}
+    known = [(host, port) for host in sorted(hosts) if host != own]
+    return known or list(sidecar.terms.seeds)
+
+
+def _follow(sidecar: Sidecar) -> None:
+    follow_world(sidecar.gate)
+    sidecar.dispatcher.outlooks.keep_only(
+        [entry.target_id for entry in sidecar.world.targets.values()],
+    )
+
+
+def _tick(sidecar: Sidecar) -> None:
+    now = sidecar.reactor.seconds()
+    dropped = release_held(sidecar.world, now)
+    if dropped:
+        emit('lapsed', keys=dropped)
+        _follow(sidecar)
+    if now >= sidecar.next_probe_at:
+        sidecar.next_probe_at = now + PROBE_PERIOD_S
+        check_target(sidecar.gate)
+    if now >= sidecar.next_reload_at:
+        sidecar.next_reload_at = now + SETTINGS_PERIOD_S
+        _reload(sidecar)
+    if sidecar.stop_at:
+        _stop_when_idle(sidecar, now)
+
+
+def _reload(sidecar: Sidecar) -> None:
+    """Take over what may change while the node runs."""
+    terms = sidecar.reload()
+    if terms is None:
+        return
+    emit('reload', service=terms.service, target=terms.target)
+    sidecar.terms = terms
+    if terms.target != sidecar.gate.address:
+        sidecar.gate.address = terms.target
+        sidecar.gate.pool = Pool(sidecar.reactor, terms.target, TARGET_IDLE_S)
+    sidecar.dispatcher.budget.terms = terms.budget
+    _follow(sidecar)
+
+
+def _catch_signals(sidecar: Sidecar) -> None:
+    def on_stop(_number: int, _frame: object) -> None:
+        sidecar.reactor.callFromThread(_drain, sidecar)
+
+    def on_reload(_number: int, _frame: object) -> None:
+        sidecar.reactor.callFromThread(_reload, sidecar)
+
+    signal.signal(signal.SIGTERM, on_stop)
+    signal.signal(signal.SIGINT, on_stop)
+    signal.signal(signal.SIGHUP, on_reload)
+
+
+def _drain(sidecar: Sidecar) -> None:
+    if sidecar.stop_at:
+        return
+    now = sidecar.reactor.seconds()
+    sidecar.stop_from = now + NOTICE_S
+    sidecar.stop_at = now + sidecar.terms.grace_s - STOP_SPARE_S
+    sidecar.ingress.is_draining = True
+    start_gate_drain(sidecar.gate)
+    emit('drain', in_flight=sidecar.ingress.in_flight)
+
+
+def _stop_when_idle(sidecar: Sidecar, now: float) -> None:
+    is_busy = sidecar.ingress.in_flight or sidecar.gate.tasks
+    quiet_from = sidecar.ingress.last_request_at + QUIET_S
+    may_end = now >= max(sidecar.stop_from, quiet_from) and not is_busy
+    if may_end or now >= sidecar.stop_at:
+        emit(
+            'stop',
+            in_flight=sidecar.ingress.in_flight,
+            at_target=len(sidecar.gate.tasks),
+        )
+        sidecar.reactor.stop()
--- a/marjoramlead/verdict.py
+++ b/marjoramlead/verdict.py
@@ -17,7 +17,11 @@
 class Reason(StrEnum):
     """Why a call was refused, failed or tried again."""
 
+    BAD_ANSWER = 'bad_answer'
     BODY_CUT = 'body_cut'
+    BODY_TOO_LARGE = 'body_too_large'
+    CALLER_GONE = 'caller_gone'
+    COLD = 'cold'
     CONNECT_FAILED = 'connect_failed'
     DATA_CENTRE_OUT = 'data_centre_out'
     DEADLINE = 'deadline'
@@ -28,9 +32,12 @@
     NO_CONTRACT = 'no_contract'
     NO_ROUTE = 'no_route'
     NO_TARGET = 'no_target'
+    NOT_READY = 'not_ready'
     OVERLOAD = 'overload'
     SILENT = 'silent'
     TARGET_FAILED = 'target_failed'
+    TARGET_FULL = 'target_full'
+    TIMEOUT = 'timeout'
     UPLOAD_SLOTS = 'upload_slots'
     WRONG_TARGET = 'wrong_target'
 
@@ -46,8 +53,11 @@
         Whether the work may have happened.
     retry_after
         Seconds until the caller should come back; 0 where it should not.
+    reached
+        Whether a target got the request, even if it turned it away.
     """
 
     reason: Reason
     verdict: Verdict
-    retry_after: int = 1
+    retry_after: float = 1
+    reached: bool = False
