Stand-ins of the store and the targets; the whole path tested in memory

The tests found: an empty trailing read ended the parser after an answer of another request was skipped; a request barred at the only target could not be offered there again.

--- a/marjoramlead/feed.py
+++ b/marjoramlead/feed.py
@@ -18,7 +18,14 @@
 from marjoramlead.events import emit
 from marjoramlead.hops import FEED_PATH, decode_feed, feed_records
 from marjoramlead.limits import Wait
-from marjoramlead.upstream import Address, Outgoing, Pool, send
+from marjoramlead.upstream import (
+    Address,
+    Connect,
+    Outgoing,
+    Pool,
+    connect_tcp,
+    send,
+)
 from marjoramlead.world import (
     Record,
     World,
@@ -33,6 +40,9 @@
 # after this and the answer limit, within the three seconds that a node has
 # to be in touch again; longer waits would save calls to the store.
 WATCH_S: Final = 2.4
+# Changes come in bursts, and each watch that ends is a call to the store: the
+# next ones are left to gather for so long.
+SETTLE_S: Final = 0.3
 # Between two tries while the store does not answer: first, and at most.
 RETRY_FIRST_S: Final = 0.15
 RETRY_MAX_S: Final = 1.0
@@ -94,6 +104,7 @@
     on_news: Callable[[], None]
     reactor: Clock
     rng: Random
+    connect: Connect = connect_tcp
     after: int = 0
     heard: int = 0
     failures: int = 0
@@ -129,6 +140,8 @@
             told = await feed.store.list_all()
         if told.is_ok():
             _take(feed, told.ok)
+            if told.ok.records:
+                await _sleep(feed.reactor, SETTLE_S)
         else:
             await _on_fault(feed, told.error)
 
@@ -181,7 +194,7 @@
         return
     address = feed.rng.choice(peers)
     uri = FEED_PATH + b'?after=%d' % feed.world.revision
-    pool = Pool(feed.reactor, address, 0)
+    pool = Pool(feed.reactor, address, 0, feed.connect)
     outgoing = Outgoing(b'GET', uri, [(b'Host', b'node')], b'')
     wait = Wait(feed.reactor, send(pool, outgoing))
     wait.end_at(feed.reactor.seconds() + PEER_LIMIT_S)
--- /dev/null
+++ b/marjoramlead/hop_client.py
@@ -0,0 +1,216 @@
+"""Send a request to the node of a target, and learn what became of it.
+
+A node that does not acknowledge a request, or whose connection dies, is asked
+over a new connection. So doubt turns into an answer, or into a retry that is
+allowed.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from twisted.internet.defer import Deferred
+
+from marjoramlead.clock import Clock, Timer
+from marjoramlead.events import emit
+from marjoramlead.hops import (
+    FATE_PATH,
+    JOB_HEADER,
+    REPORT_HEADER,
+    Job,
+    decode_report,
+    encode_job,
+    encode_question,
+    load_of,
+    refusal_of,
+)
+from marjoramlead.ledger import Outcome
+from marjoramlead.limits import Wait
+from marjoramlead.placement import Outlooks, note_failure, note_report
+from marjoramlead.upstream import (
+    Connect,
+    LinkFailure,
+    Outgoing,
+    Pool,
+    Reply,
+    close_idle,
+    connect_tcp,
+    send,
+    value_of,
+)
+from marjoramlead.verdict import Reason, Refusal, Verdict
+from marjoramlead.world import TargetEntry
+
+__all__ = ('HopClient', 'offer_there')
+
+# A node acknowledges a request as soon as it has read it; this allows for a
+# lost packet, which is sent again after 200 ms.
+RECEIPT_LIMIT_S: Final = 0.4
+# Between two questions for the fate of a request.
+ASK_AGAIN_S: Final = 0.25
+# Idle connections between nodes are closed by the server after 75 s.
+HOP_IDLE_S: Final = 30.0
+# Seconds past its deadline that an answer on its way is waited for.
+LAST_WORD_S: Final = 0.15
+# A host that could not be reached is tried again after this.
+RETRY_AFTER_S: Final = 0.2
+
+
+@dataclass(slots=True)
+class HopClient:
+    """What is needed to reach the nodes of other targets.
+
+    Attributes
+    ----------
+    port
+        At which the node of any target takes requests.
+    on_revision
+        Told of the revision of the store that another node knows.
+    """
+
+    outlooks: Outlooks
+    reactor: Clock
+    port: int
+    on_revision: Callable[[int], None]
+    connect: Connect = connect_tcp
+    pools: dict[str, Pool] = field(default_factory=dict)
+
+
+async def offer_there(
+    hops: HopClient,
+    job: Job,
+    target: TargetEntry,
+) -> Outcome:
+    """Offer a job to the node of its target, and wait for the outcome."""
+    host = target.address[0]
+    sent_at = hops.reactor.seconds()
+    result = await _send_job(hops, job, host)
+    if isinstance(result, Reply):
+        return _read_answer(hops, job, result)
+    if not result.was_sent:
+        note_failure(
+            hops.outlooks.of(job.target_id),
+            hops.reactor.seconds(),
+        )
+        return Refusal(Reason.CONNECT_FAILED, Verdict.NOT_RUN, RETRY_AFTER_S)
+    emit(
+        'hop_lost',
+        request_id=job.request_id,
+        target=job.target_id,
+        reason=result.reason,
+    )
+    return await _learn_fate(hops, job, host, sent_at)
+
+
+async def _send_job(
+    hops: HopClient,
+    job: Job,
+    host: str,
+) -> Reply | LinkFailure:
+    """Send a job; give up without a receipt, or past its deadline."""
+    now = hops.reactor.seconds()
+    headers = [*job.headers, (JOB_HEADER, encode_job(job, now))]
+    outgoing = Outgoing(job.method, job.uri, headers, job.body)
+    wait = Wait(
+        hops.reactor,
+        send(
+            _pool_of(hops, host),
+            outgoing,
+            on_receipt=lambda: _cancel(receipt),
+        ),
+    )
+    receipt = wait.end_at(now + RECEIPT_LIMIT_S)
+    wait.end_at(job.deadline + LAST_WORD_S)
+    sent = await wait.result()
+    if sent is None:
+        return LinkFailure(Reason.SILENT, was_sent=True)
+    return sent.ok if sent.is_ok() else sent.error
+
+
+def _read_answer(hops: HopClient, job: Job, reply: Reply) -> Outcome:
+    decoded = decode_report(value_of(reply.headers, REPORT_HEADER))
+    if decoded.is_error():
+        emit('hop_unreadable', request_id=job.request_id, why=decoded.error)
+        return Refusal(Reason.BAD_ANSWER, Verdict.MAY_HAVE_RUN, 0, reached=True)
+    report = decoded.ok
+    outlook = hops.outlooks.of(job.target_id)
+    note_report(outlook, load_of(report), hops.reactor.seconds())
+    hops.on_revision(report['revision'])
+    refusal = refusal_of(report)
+    if refusal is not None:
+        return refusal
+    fields = [
+        (name, raw)
+        for name, raw in reply.headers
+        if name.lower() != REPORT_HEADER
+    ]
+    return reply._replace(headers=fields)
+
+
+async def _learn_fate(
+    hops: HopClient,
+    job: Job,
+    host: str,
+    sent_at: float,
+) -> Outcome:
+    """Ask the target's node what became of a request, until it says so."""
+    outcome: Outcome = Refusal(
+        Reason.SILENT,
+        Verdict.MAY_HAVE_RUN,
+        0,
+        reached=True,
+    )
+    is_first = True
+    while hops.reactor.seconds() < job.deadline:
+        known = await _ask_fate(hops, job, host, sent_at)
+        if known is not None:
+            return known
+        note_failure(
+            hops.outlooks.of(job.target_id),
+            hops.reactor.seconds(),
+        )
+        if job.repeat == 'idempotent' and not is_first:
+            return outcome
+        is_first = False
+        await _pause(hops.reactor, ASK_AGAIN_S)
+    return outcome
+
+
+async def _ask_fate(
+    hops: HopClient,
+    job: Job,
+    host: str,
+    sent_at: float,
+) -> Outcome | None:
+    """Ask once, over a new connection; None where nobody answers."""
+    now = hops.reactor.seconds()
+    question = encode_question(job, now - sent_at)
+    outgoing = Outgoing(b'POST', FATE_PATH, [(b'Host', b'node')], question)
+    fresh = Pool(hops.reactor, (host, hops.port), 0, hops.connect)
+    wait = Wait(hops.reactor, send(fresh, outgoing))
+    wait.end_at(job.deadline + LAST_WORD_S)
+    sent = await wait.result()
+    close_idle(fresh)
+    if sent is None or sent.is_error():
+        return None
+    return _read_answer(hops, job, sent.ok)
+
+
+def _pause(reactor: Clock, seconds: float) -> Deferred[None]:
+    paused: Deferred[None] = Deferred(lambda _paused: timer.cancel())
+    timer = reactor.callLater(seconds, paused.callback, None)
+    return paused
+
+
+def _cancel(timer: Timer) -> None:
+    if timer.active():
+        timer.cancel()
+
+
+def _pool_of(hops: HopClient, host: str) -> Pool:
+    pool = hops.pools.get(host)
+    if pool is None:
+        address = (host, hops.port)
+        pool = Pool(hops.reactor, address, HOP_IDLE_S, hops.connect)
+        hops.pools[host] = pool
+    return pool
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -29,6 +29,7 @@
     'JOB_HEADER',
     'REPORT_HEADER',
     'Job',
+    'attempt_id',
     'decode_feed',
     'decode_job',
     'decode_question',
@@ -54,6 +55,11 @@
 FEED_DECODER: Final = msgspec.msgpack.Decoder(FeedDocument)
 
 
+def attempt_id(request_id: str, attempt: int) -> str:
+    """Name one attempt at a request."""
+    return f'{request_id}/{attempt}'
+
+
 class Job(NamedTuple):
     """One request on its way to one target.
 
@@ -61,6 +67,8 @@
     ----------
     headers
         Those that are meant for the target, none of the hop's own.
+    attempt
+        Number of this offer; each offer of a request has its own.
     caller
         Service of the host that the request came from.
     may_wait
@@ -70,6 +78,7 @@
     """
 
     request_id: str
+    attempt: int
     target_id: str
     route: str
     repeat: Repeat
@@ -88,6 +97,7 @@
     """Write the terms of a job; times as what is left of them."""
     terms: JobTerms = {
         'request_id': job.request_id,
+        'attempt': job.attempt,
         'target_id': job.target_id,
         'route': job.route,
         'repeat': job.repeat,
@@ -160,10 +170,11 @@
     return LoadReport(report['room'], report['wait_s'], report['work_s'])
 
 
-def encode_question(request_id: str, sent_ago_s: float) -> bytes:
-    """Write the question for the fate of a request."""
+def encode_question(job: Job, sent_ago_s: float) -> bytes:
+    """Write the question for the fate of an attempt."""
     question: FateQuestion = {
-        'request_id': request_id,
+        'request_id': job.request_id,
+        'attempt': job.attempt,
         'sent_ago_s': sent_ago_s,
     }
     return msgspec.json.encode(question)
--- a/marjoramlead/inbound.py
+++ b/marjoramlead/inbound.py
@@ -1,5 +1,6 @@
 """Serve the other nodes: requests for the local target, fates, and the feed."""
 
+from collections.abc import Coroutine
 from http import HTTPStatus
 from typing import Final
 
@@ -19,6 +20,7 @@
     REPORT_HEADER,
     SECOND_MS,
     Job,
+    attempt_id,
     decode_job,
     decode_question,
     encode_report,
@@ -62,8 +64,12 @@
     _start(gate, req, _serve(gate, req, decoded.ok))
 
 
-def _start(gate: TargetGate, req: StreamRequest, serving: object) -> None:
-    served = Deferred.fromCoroutine(serving)  # type: ignore[arg-type]
+def _start(
+    gate: TargetGate,
+    req: StreamRequest,
+    serving: Coroutine[Deferred[object], object, Outcome],
+) -> None:
+    served = Deferred.fromCoroutine(serving)
     served.addCallbacks(
         lambda outcome: _answer(gate, req, outcome),
         lambda failure: _on_failure(gate, req, failure),
@@ -102,6 +108,7 @@
     ]
     return Job(
         request_id=terms['request_id'],
+        attempt=terms['attempt'],
         target_id=terms['target_id'],
         route=terms['route'],
         repeat=terms['repeat'],
@@ -130,7 +137,8 @@
     now = gate.reactor.seconds()
     asked = question.ok
     sent_at = now - asked['sent_ago_s']
-    outcome = await ask(gate.ledger, asked['request_id'], sent_at, now)
+    attempt = attempt_id(asked['request_id'], asked['attempt'])
+    outcome = await ask(gate.ledger, attempt, sent_at, now)
     emit(
         'fate',
         request_id=asked['request_id'],
--- a/marjoramlead/ingress.py
+++ b/marjoramlead/ingress.py
@@ -1,6 +1,5 @@
 """Take the requests of this host's clients and of its target."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Final
@@ -71,11 +70,7 @@
 
 @dataclass(slots=True)
 class _Arrival:
-    """A request that is being served.
-
-    Attributes
-    ----------
-    """
+    """A request that is being served; the route is found first."""
 
     request_id: str
     began: float
@@ -228,6 +223,8 @@
             outcome.reason.value,
             outcome.retry_after,
         )
+    if req.is_gone:
+        return
     if ingress.is_draining:
         req.channel.persistent = False
         answer.headers.setRawHeaders(b'Connection', [b'close'])
--- a/marjoramlead/ledger.py
+++ b/marjoramlead/ledger.py
@@ -25,7 +25,7 @@
 # How long an answer is kept: a sender asks within its connect limit.
 ANSWER_LIFE_S: Final = 3.0
 
-NEVER_SEEN: Final = Refusal(Reason.CONNECT_FAILED, Verdict.NOT_RUN)
+NEVER_SEEN: Final = Refusal(Reason.NEVER_SEEN, Verdict.NOT_RUN)
 UNKNOWN: Final = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN)
 
 
@@ -38,7 +38,7 @@
 
 @dataclass(slots=True)
 class Ledger:
-    """Requests by id, the oldest first.
+    """Attempts of requests by id, the oldest first.
 
     Attributes
     ----------
@@ -54,12 +54,12 @@
     kept_bytes: int = 0
 
 
-def begin(ledger: Ledger, request_id: str, now: float) -> Refusal | None:
+def begin(ledger: Ledger, attempt_id: str, now: float) -> Refusal | None:
     """Note that a request has arrived; refuse one that must not run."""
     _drop_old(ledger, now)
-    page = ledger.pages.get(request_id)
+    page = ledger.pages.get(attempt_id)
     if page is None:
-        ledger.pages[request_id] = _Page(now + MEMORY_S)
+        ledger.pages[attempt_id] = _Page(now + MEMORY_S)
         return None
     if page.outcome is NEVER_SEEN:
         return Refusal(Reason.DUPLICATE, Verdict.NOT_RUN, 0)
@@ -68,7 +68,7 @@
 
 def settle(
     ledger: Ledger,
-    request_id: str,
+    attempt_id: str,
     outcome: Outcome,
     now: float,
 ) -> None:
@@ -77,7 +77,7 @@
     One that was refused unrun is forgotten, so that its sender may offer it
     here again.
     """
-    page = ledger.pages.get(request_id)
+    page = ledger.pages.get(attempt_id)
     if page is None:
         return
     page.outcome = outcome
@@ -86,15 +86,15 @@
         asker.callback(outcome)
     if isinstance(outcome, Reply):
         ledger.kept_bytes += len(outcome.body)
-        ledger.answers.append((now + ANSWER_LIFE_S, request_id))
+        ledger.answers.append((now + ANSWER_LIFE_S, attempt_id))
         _drop_answers(ledger, now)
     elif outcome.verdict is Verdict.NOT_RUN and not askers:
-        ledger.pages.pop(request_id)
+        ledger.pages.pop(attempt_id)
 
 
 def ask(
     ledger: Ledger,
-    request_id: str,
+    attempt_id: str,
     sent_at: float,
     now: float,
 ) -> Deferred[Outcome]:
@@ -104,19 +104,19 @@
     ----------
     ledger
         Of this node.
-    request_id
-        Of the request.
+    attempt_id
+        Of the request and the attempt at it.
     sent_at
         When its sender sent it first, on this node's clock.
     now
         Seconds on the node's monotonic clock.
     """
     fate: Deferred[Outcome] = Deferred()
-    page = ledger.pages.get(request_id)
+    page = ledger.pages.get(attempt_id)
     if page is None:
         knows = sent_at > ledger.started_at
         page = _Page(now + MEMORY_S, NEVER_SEEN if knows else UNKNOWN)
-        ledger.pages[request_id] = page
+        ledger.pages[attempt_id] = page
     if page.outcome is None:
         page.askers.append(fate)
     else:
@@ -126,20 +126,20 @@
 
 def _drop_old(ledger: Ledger, now: float) -> None:
     while ledger.pages:
-        request_id, page = next(iter(ledger.pages.items()))
+        attempt_id, page = next(iter(ledger.pages.items()))
         if page.until > now or page.outcome is None:
             return
-        ledger.pages.pop(request_id)
+        ledger.pages.pop(attempt_id)
 
 
 def _drop_answers(ledger: Ledger, now: float) -> None:
     """Forget answers that are old or too many; their fate stays known."""
     while ledger.answers:
-        until, request_id = ledger.answers[0]
+        until, attempt_id = ledger.answers[0]
         if until > now and ledger.kept_bytes <= MAX_KEPT_BYTES:
             return
         ledger.answers.popleft()
-        page = ledger.pages.get(request_id)
+        page = ledger.pages.get(attempt_id)
         if page is not None and isinstance(page.outcome, Reply):
             ledger.kept_bytes -= len(page.outcome.body)
             page.outcome = UNKNOWN
--- a/marjoramlead/placement.py
+++ b/marjoramlead/placement.py
@@ -33,11 +33,12 @@
 UNKNOWN_WORK_S: Final = 0.1
 # A report is believed in full at first and for nothing after this time.
 REPORT_LIFE_S: Final = 1.0
-# Handling time on the way to another host, and to another data centre.
+# Handling time on the way to another host.
 OTHER_HOST_S: Final = 0.002
-OTHER_DATA_CENTRE_S: Final = 0.003
 # Bytes between data centres are dear: the wait that a kilobyte outweighs.
-CROSSING_S_PER_KB: Final = 0.002
+CROSSING_S_PER_KB: Final = 0.01
+# Headers both ways and an ordinary answer.
+CROSSING_KB: Final = 2.5
 # How long a host that could not be reached is left out; doubles each time.
 SPARE_FIRST_S: Final = 0.25
 SPARE_MAX_S: Final = 2.0
@@ -168,5 +169,5 @@
         return 0
     if entry.data_centre == offer.data_centre:
         return OTHER_HOST_S
-    crossing = offer.body_bytes / KILOBYTE * CROSSING_S_PER_KB
-    return OTHER_DATA_CENTRE_S + crossing
+    kilobytes = CROSSING_KB + offer.body_bytes / KILOBYTE
+    return OTHER_HOST_S + kilobytes * CROSSING_S_PER_KB
--- a/marjoramlead/platform/__main__.py
+++ b/marjoramlead/platform/__main__.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from random import Random
 from typing import TypeVar
 
 from marjoramlead.errors import SettingsError
@@ -25,7 +26,12 @@
     from marjoramlead.platform.names import DIALECT
     from marjoramlead.platform.settings import load_terms
     from marjoramlead.platform.store import PlatformStore
-    from marjoramlead.sidecar import build_sidecar, start_sidecar
+    from marjoramlead.sidecar import (
+        Outside,
+        build_sidecar,
+        catch_signals,
+        start_sidecar,
+    )
 
     path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
     try:
@@ -34,14 +40,14 @@
         sys.stderr.write(f'marjoramlead: {exc}\n')
         return EXIT_BAD_SETTINGS
     start_events(terms.host)
-    sidecar = build_sidecar(
-        terms,
-        reactor,
+    outside = Outside(
         DIALECT,
         decode_record,
         lambda metrics: PlatformStore(reactor, terms.store, metrics),
         _reloader(path, load_terms),
     )
+    sidecar = build_sidecar(terms, reactor, outside, Random())
+    reactor.callWhenRunning(catch_signals, sidecar)
     reactor.callWhenRunning(start_sidecar, sidecar)
     reactor.run(installSignalHandlers=False)
     return 0
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -15,7 +15,16 @@
 from marjoramlead.feed import News
 from marjoramlead.limits import Wait
 from marjoramlead.metrics import Metrics
-from marjoramlead.upstream import Address, Outgoing, Pool, close_idle, send
+from marjoramlead.upstream import (
+    Address,
+    Connect,
+    Outgoing,
+    Pool,
+    Sent,
+    close_idle,
+    connect_tcp,
+    send,
+)
 from marjoramlead.world import Record
 
 __all__ = ('PlatformStore',)
@@ -36,9 +45,10 @@
         reactor: Clock,
         address: Address,
         metrics: Metrics,
+        connect: Connect = connect_tcp,
     ) -> None:
         self._reactor = reactor
-        self._pool = Pool(reactor, address, IDLE_S)
+        self._pool = Pool(reactor, address, IDLE_S, connect)
         self._host = f'{address[0]}:{address[1]}'.encode()
         self._metrics = metrics
 
@@ -93,7 +103,7 @@
         return answer
 
 
-def _read(sent: Any) -> Result[dict[str, Any], Fault]:
+def _read(sent: Sent | None) -> Result[dict[str, Any], Fault]:
     if sent is None:
         return Error(Fault('silent', 'no answer in time'))
     if sent.is_error():
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from random import Random
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, cast
 
+from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 from twisted.web.http_headers import Headers
 
@@ -15,6 +16,7 @@
 from marjoramlead.dispatch import Dispatcher
 from marjoramlead.events import emit
 from marjoramlead.feed import Feed, Store, nudge, start_feed
+from marjoramlead.hop_client import HopClient
 from marjoramlead.http_server import Handler, StreamRequest, make_site
 from marjoramlead.inbound import handle_node
 from marjoramlead.ingress import Ingress, handle_request
@@ -30,10 +32,18 @@
     follow_world,
     start_gate_drain,
 )
-from marjoramlead.upstream import Address, Pool
+from marjoramlead.upstream import Address, Connect, Pool, connect_tcp
 from marjoramlead.world import Decode, World, release_held
 
-__all__ = ('Sidecar', 'SidecarTerms', 'build_sidecar', 'start_sidecar')
+__all__ = (
+    'Outside',
+    'Sidecar',
+    'SidecarTerms',
+    'build_sidecar',
+    'catch_signals',
+    'drain_sidecar',
+    'start_sidecar',
+)
 
 TICK_S: Final = 0.25
 # Between two probes of the local target: a target may turn cold unseen.
@@ -81,7 +91,24 @@
     budget: BudgetTerms
 
 
-Reload = Callable[[], SidecarTerms | None]
+class Outside(NamedTuple):
+    """What an adapter gives a node of the platform around it.
+
+    Attributes
+    ----------
+    decode
+        Reads the records of the store.
+    store
+        Makes the client of the store.
+    reload
+        Reads the settings again; None where they did not change.
+    """
+
+    dialect: Dialect
+    decode: Decode
+    store: Callable[[Metrics], Store]
+    reload: Callable[[], SidecarTerms | None]
+    connect: Connect = connect_tcp
 
 
 @dataclass(slots=True)
@@ -90,8 +117,6 @@
 
     Attributes
     ----------
-    reload
-        Reads the settings again; None where they did not change.
     stop_at
         When the node ends at the latest, once it was told to stop.
     """
@@ -104,7 +129,7 @@
     ingress: Ingress
     feed: Feed
     metrics: Metrics
-    reload: Reload
+    outside: Outside
     stop_from: float = 0
     stop_at: float = 0
     next_probe_at: float = 0
@@ -115,21 +140,19 @@
 def build_sidecar(
     terms: SidecarTerms,
     reactor: Reactor,
-    dialect: Dialect,
-    decode: Decode,
-    store: Callable[[Metrics], Store],
-    reload: Reload,
+    outside: Outside,
+    rng: Random,
 ) -> Sidecar:
     """Put the parts of a node together; nothing listens yet."""
-    rng = Random()
     metrics = Metrics()
-    world = World(decode)
+    connect = outside.connect
+    world = World(outside.decode)
     gate = TargetGate(
         terms.target,
         world,
-        dialect,
+        outside.dialect,
         reactor,
-        Pool(reactor, terms.target, TARGET_IDLE_S),
+        Pool(reactor, terms.target, TARGET_IDLE_S, connect),
         Ledger(reactor.seconds()),
         metrics,
     )
@@ -140,25 +163,32 @@
 
     feed = Feed(
         world,
-        store(metrics),
+        outside.store(metrics),
         lambda: _peers(sidecar),
         on_news,
         reactor,
         rng,
+        connect,
     )
+    outlooks = Outlooks(rng)
     dispatcher = Dispatcher(
         world,
         gate,
-        Outlooks(rng),
+        HopClient(
+            outlooks,
+            reactor,
+            terms.inbound[1],
+            lambda revision: nudge(feed, revision),
+            connect,
+        ),
+        outlooks,
         RepeatBudget(terms.budget, lambda: len(world.targets)),
         reactor,
         metrics,
         terms.data_centre,
         lambda: sidecar.terms.service,
-        terms.inbound[1],
-        lambda revision: nudge(feed, revision),
     )
-    ingress = Ingress(dispatcher, dialect, SplitState(rng))
+    ingress = Ingress(dispatcher, outside.dialect, SplitState(rng))
     sidecar = Sidecar(
         terms,
         reactor,
@@ -168,7 +198,7 @@
         ingress,
         feed,
         metrics,
-        reload,
+        outside,
     )
     return sidecar
 
@@ -189,9 +219,9 @@
         address = (terms.inbound[0], terms.metrics_port)
         _listen(sidecar, address, lambda req: _answer_metrics(sidecar, req))
     _watch_values(sidecar)
-    _catch_signals(sidecar)
     start_feed(sidecar.feed)
     ticks = LoopingCall(_tick, sidecar)
+    ticks.clock = cast(IReactorTime, sidecar.reactor)
     ticks.start(TICK_S, now=False)
     sidecar.loops.append(ticks)
     emit('start', service=terms.service, target=terms.target)
@@ -279,21 +309,28 @@
 
 def _reload(sidecar: Sidecar) -> None:
     """Take over what may change while the node runs."""
-    terms = sidecar.reload()
+    terms = sidecar.outside.reload()
     if terms is None:
         return
     emit('reload', service=terms.service, target=terms.target)
     sidecar.terms = terms
     if terms.target != sidecar.gate.address:
         sidecar.gate.address = terms.target
-        sidecar.gate.pool = Pool(sidecar.reactor, terms.target, TARGET_IDLE_S)
+        sidecar.gate.pool = Pool(
+            sidecar.reactor,
+            terms.target,
+            TARGET_IDLE_S,
+            sidecar.gate.pool.connect,
+        )
     sidecar.dispatcher.budget.terms = terms.budget
     _follow(sidecar)
 
 
-def _catch_signals(sidecar: Sidecar) -> None:
+def catch_signals(sidecar: Sidecar) -> None:
+    """Stop on SIGTERM and SIGINT, read the settings again on SIGHUP."""
+
     def on_stop(_number: int, _frame: object) -> None:
-        sidecar.reactor.callFromThread(_drain, sidecar)
+        sidecar.reactor.callFromThread(drain_sidecar, sidecar)
 
     def on_reload(_number: int, _frame: object) -> None:
         sidecar.reactor.callFromThread(_reload, sidecar)
@@ -303,7 +340,8 @@
     signal.signal(signal.SIGHUP, on_reload)
 
 
-def _drain(sidecar: Sidecar) -> None:
+def drain_sidecar(sidecar: Sidecar) -> None:
+    """Take no more work, and end once what there is has ended."""
     if sidecar.stop_at:
         return
     now = sidecar.reactor.seconds()
--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -11,7 +11,7 @@
 from marjoramlead.clock import Clock, Timer
 from marjoramlead.dialect import Dialect
 from marjoramlead.events import emit
-from marjoramlead.hops import Job
+from marjoramlead.hops import Job, attempt_id
 from marjoramlead.ledger import Ledger, Outcome, begin, settle
 from marjoramlead.limits import Wait
 from marjoramlead.metrics import Metrics
@@ -73,7 +73,7 @@
     starters
         What to fire when a waiting request may run, by its number.
     tasks
-        What serves each request at present, by request id.
+        What serves each attempt at present, by its id.
     suspected
         Whether the target may have restarted unseen since its last answer.
     """
@@ -100,7 +100,8 @@
 def serve_job(gate: TargetGate, job: Job) -> Deferred[Outcome]:
     """Serve one request to its end; cancelling it gives it up."""
     now = gate.reactor.seconds()
-    refusal = begin(gate.ledger, job.request_id, now)
+    attempt = attempt_id(job.request_id, job.attempt)
+    refusal = begin(gate.ledger, attempt, now)
     if refusal is not None:
         emit('duplicate', request_id=job.request_id, verdict=refusal.verdict)
         done: Deferred[Outcome] = Deferred()
@@ -108,7 +109,7 @@
         return done
     task = Deferred.fromCoroutine(_serve(gate, job))
     if not task.called:
-        gate.tasks[job.request_id] = task
+        gate.tasks[attempt] = task
     return task
 
 
@@ -118,7 +119,7 @@
     One that may run once only and has begun goes on to its end, so that its
     sender can still learn its fate.
     """
-    task = gate.tasks.get(job.request_id)
+    task = gate.tasks.get(attempt_id(job.request_id, job.attempt))
     if task is None:
         return
     numbers = {
@@ -147,7 +148,8 @@
         entry.target_id,
         entry.born_ms,
     )
-    if entry.cold_s and (is_new or entry.seen_at != known.seen_at):
+    is_changed = known is None or entry.seen_at != known.seen_at
+    if entry.cold_s and is_changed:
         per_s = terms.cold_per_s if terms else 1
         set_cold(gate.queue, entry.seen_at + entry.cold_s, per_s)
         emit('target_cold', target=entry.target_id, left_s=entry.cold_s)
@@ -225,9 +227,10 @@
         else:
             outcome = refusal
     finally:
-        gate.tasks.pop(job.request_id, None)
+        attempt = attempt_id(job.request_id, job.attempt)
+        gate.tasks.pop(attempt, None)
         now = gate.reactor.seconds()
-        settle(gate.ledger, job.request_id, outcome, now)
+        settle(gate.ledger, attempt, outcome, now)
         _log_end(gate, job, outcome, began)
     return outcome
 
@@ -446,14 +449,17 @@
 ) -> None:
     now = gate.reactor.seconds()
     load = load_report(gate.queue, now)
-    is_reply = isinstance(outcome, Reply)
+    if isinstance(outcome, Reply):
+        ended, verdict = str(outcome.status), Verdict.RAN
+    else:
+        ended, verdict = outcome.reason.value, outcome.verdict
     emit(
         'gate',
         request_id=job.request_id,
         target=job.target_id,
         route=job.route,
-        outcome=outcome.status if is_reply else outcome.reason,
-        verdict='ran' if is_reply else outcome.verdict,
+        outcome=ended,
+        verdict=verdict,
         took_ms=round((now - began) * SECOND_MS),
         left_ms=round((job.deadline - now) * SECOND_MS),
         may_wait=job.may_wait,
--- a/marjoramlead/target_queue.py
+++ b/marjoramlead/target_queue.py
@@ -292,7 +292,7 @@
     ahead: Iterable[Entry],
     now: float,
 ) -> float:
-    """Play the slots forward: when is one free after those ahead?"""
+    """Play the slots forward until one is free after those ahead."""
     if queue.slots <= 0:
         return float('inf')
     free_at = [now] * max(0, queue.slots - len(queue.running))
--- a/marjoramlead/upstream.py
+++ b/marjoramlead/upstream.py
@@ -10,13 +10,14 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple, cast
+from typing import Protocol as ProtocolType
 
 import h11
 from expression import Error, Ok, Result
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import Protocol
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from marjoramlead.clock import Clock
@@ -24,12 +25,14 @@
 
 __all__ = (
     'Address',
+    'Connect',
     'Fields',
     'LinkFailure',
     'Outgoing',
     'Pool',
     'Reply',
     'close_idle',
+    'connect_tcp',
     'send',
     'value_of',
 )
@@ -79,6 +82,7 @@
     was_sent: bool
 
 
+Connect = Callable[[Clock, Address, Protocol], 'Deferred[object]']
 Sent = Result[Reply, LinkFailure]
 Accepts = Callable[[Reply], bool]
 OnReceipt = Callable[[], None]
@@ -92,6 +96,29 @@
     return ''
 
 
+def connect_tcp(
+    reactor: Clock,
+    address: Address,
+    protocol: Protocol,
+) -> 'Deferred[object]':
+    """Connect a protocol to an address."""
+    host, port = address
+    endpoint = TCP4ClientEndpoint(reactor, host, port, CONNECT_LIMIT_S)
+    connected = connectProtocol(endpoint, protocol)
+    return connected.addCallback(_set_options)
+
+
+def _set_options(protocol: Protocol) -> Protocol:
+    handle = cast(_TcpTransport, protocol.transport).getHandle()
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    handle.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        UNACKNOWLEDGED_MS,
+    )
+    return protocol
+
+
 @dataclass(slots=True)
 class Pool:
     """Kept connections to one address.
@@ -100,6 +127,8 @@
     ----------
     idle_limit
         Seconds after which an idle connection is not used again.
+    connect
+        Opens a connection for a protocol.
     opened
         Connections opened so far.
     """
@@ -107,6 +136,7 @@
     reactor: Clock
     address: Address
     idle_limit: float
+    connect: Connect = connect_tcp
     idle: list['_Link'] = field(default_factory=list)
     opened: int = 0
 
@@ -159,11 +189,9 @@
 
 
 async def _open(pool: Pool) -> 'Result[_Link, LinkFailure]':
-    host, port = pool.address
-    endpoint = TCP4ClientEndpoint(pool.reactor, host, port, CONNECT_LIMIT_S)
     link = _Link(pool)
     try:
-        await connectProtocol(endpoint, link)
+        await pool.connect(pool.reactor, pool.address, link)
     except CancelledError:
         raise
     except Exception:  # refused, timed out, unreachable: nothing was sent
@@ -172,6 +200,24 @@
     return Ok(link)
 
 
+class _TcpTransport(ProtocolType):
+    def getHandle(self) -> socket.socket:
+        """Return the socket."""
+
+
+class _Transport(ProtocolType):
+    """The part of a TCP transport that is used here."""
+
+    def write(self, chunk: bytes) -> None:
+        """Send bytes."""
+
+    def loseConnection(self) -> None:
+        """Close once all is sent."""
+
+    def abortConnection(self) -> None:
+        """Close at once."""
+
+
 class _Exchange:
     """One request on a connection, and what has arrived for it."""
 
@@ -192,6 +238,8 @@
 
 
 class _Link(Protocol):
+    transport: '_Transport'  # type: ignore[assignment]  # what TCP has
+
     def __init__(self, pool: Pool) -> None:
         self.is_open = False
         self.usable_until = float('inf')
@@ -201,13 +249,6 @@
 
     def connectionMade(self) -> None:
         self.is_open = True
-        handle = self.transport.getHandle()
-        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        handle.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            UNACKNOWLEDGED_MS,
-        )
 
     def exchange(
         self,
@@ -227,7 +268,7 @@
             return
         self._feed(chunk)
 
-    def connectionLost(self, reason: Failure) -> None:
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.is_open = False
         if self in self._pool.idle:
             self._pool.idle.remove(self)
@@ -306,7 +347,8 @@
         exchange.chunks = []
         self._parser = _new_parser()
         _write_request(self._parser, exchange.outgoing)
-        self._parser.receive_data(trailing)
+        if trailing:  # to the parser, no bytes mean the end
+            self._parser.receive_data(trailing)
 
     def _keep(self, reply: Reply) -> None:
         parser = self._parser
--- a/marjoramlead/verdict.py
+++ b/marjoramlead/verdict.py
@@ -29,6 +29,7 @@
     DUPLICATE = 'duplicate'
     GATEWAY_FULL = 'gateway_full'
     KEY_UNKNOWN = 'key_unknown'
+    NEVER_SEEN = 'never_seen'
     NO_CONTRACT = 'no_contract'
     NO_ROUTE = 'no_route'
     NO_TARGET = 'no_target'
--- /dev/null
+++ b/tests/test_platform_mesh.py
@@ -0,0 +1,242 @@
+"""The whole path of a request on the platform, with stand-ins in memory."""
+
+import pytest
+
+from marjoramlead.sidecar import drain_sidecar
+from standins.platform_store import put
+from tests.platform_mesh import INBOUND, STORE, TARGET, ready_mesh, route
+
+
+def test_request_is_answered_by_its_target():
+    mesh = ready_mesh('web', 'api')
+    sent = mesh.send(mesh.hosts[1])
+    mesh.advance(0.5)
+    assert sent.status == 200
+    assert sent.reply.body == sent.request_id.encode()
+    assert sent.header(b'x-server-seal') == 'seal'
+    arrival = mesh.hosts[0].target.arrivals[0]
+    assert arrival.caller == 'api'
+    assert 0 < arrival.wait_ms <= 1000
+
+
+@pytest.mark.parametrize('fault', ['reset', 'unsealed', 'silent'])
+@pytest.mark.parametrize('path', ['/once/x', '/scan/x'])
+def test_request_that_may_run_once_is_not_sent_twice(fault, path):
+    mesh = ready_mesh('web', 'web')
+    for host in mesh.hosts:
+        host.target.fault = fault
+    sent = mesh.send(mesh.hosts[0], path, method=b'POST', body=b'x')
+    mesh.advance(3)
+    assert sent.status in {502, 504}
+    assert mesh.runs(sent.request_id) == 1
+
+
+def test_idempotent_request_is_sent_again_after_a_bad_answer():
+    mesh = ready_mesh('web', 'web')
+    mesh.hosts[0].target.fault = 'reset'
+    sent = mesh.send(mesh.hosts[0])
+    mesh.advance(2)
+    assert sent.status == 200
+    assert mesh.runs(sent.request_id) == 2
+
+
+def test_late_extra_answer_is_not_taken_for_the_next_one():
+    mesh = ready_mesh('web')
+    target = mesh.hosts[0].target
+    target.fault = 'extra'
+    first = mesh.send(mesh.hosts[0])
+    mesh.advance(0.12)
+    target.fault = ''
+    second = mesh.send(mesh.hosts[0])
+    mesh.advance(1)
+    assert first.reply.body == first.request_id.encode()
+    assert second.reply.body == second.request_id.encode()
+
+
+def test_unknown_route_is_denied_and_unknown_routing_is_not():
+    mesh = ready_mesh('web')
+    unknown = mesh.send(mesh.hosts[0], '/none/x')
+    mesh.advance(0.1)
+    assert unknown.status == 404
+    mesh.store.is_silent = True
+    mesh.start(mesh.hosts[0])
+    fresh = mesh.send(mesh.hosts[0])
+    mesh.advance(0.1)
+    assert fresh.status == 503
+
+
+def test_target_never_gets_more_than_its_slots():
+    mesh = ready_mesh('web', 'api', slots=3)
+    sent = [mesh.send(mesh.hosts[number % 2]) for number in range(40)]
+    mesh.advance(3)
+    assert mesh.hosts[0].target.most_running <= 3
+    assert {each.status for each in sent} == {200, 503}
+    assert all(
+        mesh.runs(each.request_id) == (each.status == 200) for each in sent
+    )
+
+
+def test_refusal_comes_at_once_and_says_when_to_come_back():
+    mesh = ready_mesh('web', slots=1)
+    sent = [mesh.send(mesh.hosts[0], wait_ms=900) for _each in range(30)]
+    mesh.advance(0.05)
+    refused = [each for each in sent if each.status == 503]
+    assert refused
+    for each in refused:
+        assert 0 < float(each.header(b'retry-after')) <= 0.3
+
+
+def test_draining_target_gets_nothing_more():
+    mesh = ready_mesh('web', 'web')
+    mesh.publish(mesh.hosts[0], state='draining')
+    mesh.advance(1)
+    before = len(mesh.hosts[0].target.arrivals)
+    sent = [mesh.send(host) for host in mesh.hosts for _each in range(4)]
+    mesh.advance(2)
+    assert len(mesh.hosts[0].target.arrivals) == before
+    assert all(each.status == 200 for each in sent)
+
+
+def test_data_centre_that_is_out_gets_nothing():
+    mesh = ready_mesh('web', 'web')
+    put(mesh.store, 'op/evacuate/a', {})
+    mesh.advance(1)
+    sent = [mesh.send(host) for host in mesh.hosts for _each in range(4)]
+    mesh.advance(2)
+    assert not mesh.hosts[0].target.arrivals
+    assert all(each.status == 200 for each in sent)
+
+
+def test_node_that_the_store_turns_away_learns_from_a_peer():
+    mesh = ready_mesh('web', 'web')
+    cut = mesh.hosts[0].sidecar
+    cut.feed.store.list_all = cut.feed.store.watch = _refused
+    mesh.advance(4)
+    mesh.configure(2, routes=[route('new', 'safe', 'web')])
+    mesh.advance(2)
+    sent = mesh.send(mesh.hosts[0], '/new/x')
+    mesh.advance(1)
+    assert sent.status == 200
+
+
+async def _refused(*_arguments):
+    from expression import Error
+
+    from marjoramlead.errors import Fault
+
+    return Error(Fault('refused', 'status 503'))
+
+
+def test_cold_target_gets_its_rate():
+    mesh = ready_mesh('web', 'api', slots=9)
+    target = mesh.hosts[0].target
+    target.cold_until = mesh.reactor.seconds() + 3
+    mesh.publish(mesh.hosts[0], cold='3000ms')
+    mesh.advance(0.5)
+    before = len(target.arrivals)
+    for _step in range(20):
+        for host in mesh.hosts:
+            mesh.send(host)
+            mesh.send(host)
+        mesh.advance(0.05)
+    assert len(target.arrivals) - before <= 11 * 1.5 + 5
+
+
+def test_client_that_leaves_stops_the_work():
+    mesh = ready_mesh('web', 'api')
+    sent = mesh.send(mesh.hosts[1])
+    mesh.advance(0.03)
+    sent.waiting.cancel()
+    mesh.advance(0.03)
+    assert mesh.hosts[0].target.gone == [sent.request_id]
+
+
+def test_request_lost_between_nodes_is_found_again():
+    mesh = ready_mesh('web', 'api')
+    sent = mesh.send(mesh.hosts[1], '/once/x', method=b'POST', body=b'x')
+    mesh.advance(0.03)
+    mesh.net.reset((mesh.hosts[0].address, INBOUND))
+    mesh.advance(1)
+    assert sent.status == 200
+    assert mesh.runs(sent.request_id) == 1
+
+
+def test_silent_connection_between_nodes_costs_no_request():
+    mesh = ready_mesh('web', 'api')
+    mesh.send(mesh.hosts[1])
+    mesh.advance(0.5)
+    mesh.net.silence((mesh.hosts[0].address, INBOUND))
+    sent = mesh.send(mesh.hosts[1], '/once/x', method=b'POST', body=b'x')
+    mesh.advance(1)
+    assert sent.status == 200
+    assert mesh.runs(sent.request_id) == 1
+
+
+def test_stop_cuts_nothing_and_is_told():
+    mesh = ready_mesh('web', 'web')
+    sent = mesh.send(mesh.hosts[0])
+    mesh.advance(0.02)
+    drain_sidecar(mesh.hosts[0].sidecar)
+    later = mesh.send(mesh.hosts[0])
+    mesh.advance(1)
+    assert sent.status == 200
+    assert later.status == 200
+    assert later.header(b'connection') == 'close'
+    mesh.advance(3)
+    assert mesh.reactor.stopped
+
+
+def test_weights_are_even_over_few_requests():
+    mesh = ready_mesh('web', 'api')
+    split = [{'Service': 'web', 'Weight': 70}, {'Service': 'api', 'Weight': 30}]
+    mesh.configure(2, routes=[route('split', 'safe', None, split)])
+    mesh.advance(1)
+    for _each in range(100):
+        mesh.send(mesh.hosts[0], '/split/x')
+        mesh.advance(0.1)
+    assert abs(len(mesh.hosts[0].target.arrivals) - 70) <= 1
+
+
+def test_address_of_another_target_runs_nothing():
+    mesh = ready_mesh('web', 'api')
+    mesh.hosts[0].target.target_id = 'i-other'
+    sent = mesh.send(mesh.hosts[1])
+    mesh.advance(1)
+    assert sent.status == 503
+    assert not mesh.runs(sent.request_id)
+
+
+def test_entries_that_lapsed_with_the_store_hold_for_two_seconds():
+    mesh = ready_mesh('web', 'api')
+    mesh.store.refusing = 503
+    mesh.advance(5)
+    mesh.withdraw(mesh.hosts[0])
+    mesh.store.refusing = 0
+    mesh.advance(1.5)
+    sent = mesh.send(mesh.hosts[1])
+    mesh.advance(0.5)
+    assert sent.status == 200
+    mesh.advance(3)
+    gone = mesh.send(mesh.hosts[1])
+    mesh.advance(0.5)
+    assert gone.status == 503
+
+
+def test_store_that_forgot_its_history_is_listed_again():
+    mesh = ready_mesh('web', 'web')
+    mesh.store.forgotten = mesh.store.revision + 1
+    mesh.withdraw(mesh.hosts[0])
+    mesh.store.history.clear()
+    mesh.store.waiting.clear()
+    mesh.net.reset(STORE)
+    mesh.store.forgotten = mesh.store.revision
+    mesh.advance(4)
+    assert set(mesh.hosts[1].sidecar.world.targets) == {'servers/i-1'}
+
+
+def test_port_of_target_that_refuses_runs_nothing_and_is_retried():
+    mesh = ready_mesh('web', 'web')
+    mesh.net.refusing.add((mesh.hosts[0].address, TARGET))
+    sent = [mesh.send(mesh.hosts[0], '/once/x') for _each in range(3)]
+    mesh.advance(1)
+    assert [each.status for each in sent] == [200, 200, 200]
