--- a/marjoramlead/documents.py
+++ b/marjoramlead/documents.py
@@ -9,8 +9,6 @@
 from hashlib import blake2b
 from typing import Final
 
-import jsonc
-import msgspec
 from expression import Error, Ok, Result
 from fastjsonschema import JsonSchemaValueException
 
@@ -20,6 +18,7 @@
     hosts_validator,
     operations_validator,
 )
+from marjoramlead.parsing import parse_object
 from marjoramlead.terms import contract_faults, hosts_faults
 
 __all__ = (
@@ -28,7 +27,6 @@
     'OPERATIONS',
     'check_document',
     'digest_of',
-    'parse_object',
     'schema_fault',
 )
 
@@ -45,25 +43,6 @@
     return blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
 
 
-def parse_object(text: str) -> Result[dict[str, object], Fault]:
-    """Read JSON with comments whose outermost value is an object."""
-    try:
-        parsed = _parse(text)
-    except (ValueError, RecursionError) as exc:
-        return Error(Fault('', f'is not JSON: {exc}'))
-    if not isinstance(parsed, dict):
-        return Error(Fault('', 'must be a JSON object'))
-    return Ok(parsed)
-
-
-def _parse(text: str) -> object:
-    """Read plain JSON the fast way, and all else with comments."""
-    try:
-        return msgspec.json.decode(text)
-    except (msgspec.DecodeError, RecursionError):
-        return jsonc.loads(text)
-
-
 def schema_fault(
     validate: Validator,
     parsed: Mapping[str, object],
--- /dev/null
+++ b/marjoramlead/parsing.py
@@ -0,0 +1,40 @@
+"""Read text files, and JSON with comments, without raising."""
+
+from pathlib import Path
+
+import jsonc
+import msgspec
+from expression import Error, Ok, Result
+
+from marjoramlead.errors import Fault
+
+__all__ = ('parse_object', 'read_text')
+
+
+def read_text(path: Path) -> Result[str, Fault]:
+    """Read a text file."""
+    try:
+        return Ok(path.read_text(encoding='utf-8'))
+    except OSError as exc:
+        return Error(Fault('', f'cannot be read: {exc.strerror}'))
+    except UnicodeDecodeError:
+        return Error(Fault('', 'is not UTF-8 text'))
+
+
+def parse_object(text: str) -> Result[dict[str, object], Fault]:
+    """Read JSON with comments whose outermost value is an object."""
+    try:
+        parsed = _parse(text)
+    except (ValueError, RecursionError) as exc:
+        return Error(Fault('', f'is not JSON: {exc}'))
+    if not isinstance(parsed, dict):
+        return Error(Fault('', 'must be a JSON object'))
+    return Ok(parsed)
+
+
+def _parse(text: str) -> object:
+    """Read plain JSON the fast way, and all else with comments."""
+    try:
+        return msgspec.json.decode(text)
+    except (msgspec.DecodeError, RecursionError):
+        return jsonc.loads(text)
--- a/marjoramlead/platform/settings.py
+++ b/marjoramlead/platform/settings.py
@@ -1,15 +1,15 @@
 """Read the settings that the platform renders from ``deploy/node.template``."""
 
 from pathlib import Path
-from typing import Final, cast
+from typing import Final
+
+import msgspec
 
-from marjoramlead.documents import parse_object, schema_fault
 from marjoramlead.errors import SettingsError
-from marjoramlead.generated import sidecar_validator
 from marjoramlead.generated.sidecar_types import SidecarSettings
+from marjoramlead.parsing import parse_object, read_text
 from marjoramlead.platform.decoding import read_address, read_time
 from marjoramlead.repeat_budget import BudgetTerms
-from marjoramlead.settings import read_text
 from marjoramlead.sidecar import SidecarTerms
 
 __all__ = ('load_terms',)
@@ -37,12 +37,9 @@
     parsed = parse_object(text.ok)
     if parsed.is_error():
         raise SettingsError(f'{path}: {parsed.error}')
-    fault = schema_fault(sidecar_validator.validate, parsed.ok)
-    if fault is not None:
-        raise SettingsError(f'{path}: {fault}')
     try:
-        return _terms(cast(SidecarSettings, parsed.ok))
-    except (TypeError, ValueError) as exc:
+        return _terms(msgspec.convert(parsed.ok, SidecarSettings))
+    except (msgspec.ValidationError, TypeError, ValueError) as exc:
         raise SettingsError(f'{path}: {exc}') from exc
 
 
--- a/marjoramlead/porcelain.py
+++ b/marjoramlead/porcelain.py
@@ -24,7 +24,7 @@
     published,
 )
 from marjoramlead.reports import DocumentStatus, NodeStatus
-from marjoramlead.settings import read_text
+from marjoramlead.parsing import read_text
 
 __all__ = (
     'Checked',
--- a/marjoramlead/settings.py
+++ b/marjoramlead/settings.py
@@ -5,12 +5,13 @@
 
 from expression import Error, Ok, Result
 
-from marjoramlead.documents import parse_object, schema_fault
+from marjoramlead.documents import schema_fault
 from marjoramlead.errors import Fault, SettingsError
 from marjoramlead.generated import settings_validator
 from marjoramlead.generated.settings_types import SettingsDocument
+from marjoramlead.parsing import parse_object, read_text
 
-__all__ = ('load_settings', 'read_text')
+__all__ = ('load_settings',)
 
 
 def load_settings(path: Path) -> SettingsDocument:
@@ -30,16 +31,6 @@
     return settings.ok
 
 
-def read_text(path: Path) -> Result[str, Fault]:
-    """Read a text file."""
-    try:
-        return Ok(path.read_text(encoding='utf-8'))
-    except OSError as exc:
-        return Error(Fault('', f'cannot be read: {exc.strerror}'))
-    except UnicodeDecodeError:
-        return Error(Fault('', 'is not UTF-8 text'))
-
-
 def _check(parsed: dict[str, object]) -> Result[SettingsDocument, Fault]:
     fault = schema_fault(settings_validator.validate, parsed)
     if fault is not None:
--- /dev/null
+++ b/tests/test_decoding.py
@@ -0,0 +1,109 @@
+"""Documents of the platform, good and bad."""
+
+import json
+
+import pytest
+
+from marjoramlead.platform.decoding import (
+    decode_record,
+    read_address,
+    read_time,
+)
+from marjoramlead.routes import Part, RoutingTable, find_route
+from marjoramlead.world import Outage, Record, TargetEntry
+from tests.platform_mesh import config, route
+
+ENTRY = {
+    'Service': 'web',
+    'Address': '10.0.0.1:8301',
+    'Zone': 'a',
+    'Version': 'v1',
+    'Slots': 9,
+    'State': 'ready',
+    'WarmupLeft': '1500ms',
+    'Sequence': 4,
+    'born': 1000,
+}
+
+
+def decoded(key, document):
+    raw = document if isinstance(document, bytes) else json.dumps(document)
+    body = raw if isinstance(raw, bytes) else raw.encode()
+    return decode_record(Record(key, body, 7), 50.0)
+
+
+def test_entry_of_a_target():
+    entry = decoded('servers/i-1', ENTRY)
+    assert entry == TargetEntry(
+        'i-1', 'web', ('10.0.0.1', 8301), 'a', 9, False, 1000, 1.5, 50.0
+    )  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    'changed',
+    [
+        {'State': 'odd'},
+        {'Slots': '9'},
+        {'Slots': True},
+        {'Slots': 0},
+        {'Address': 'here'},
+        {'Address': 5},
+        {'WarmupLeft': 3},
+        {'WarmupLeft': '3h'},
+        {'Service': None},
+        {'born': 1.5},
+    ],
+)
+def test_entry_of_another_writer_names_no_target(changed):
+    assert decoded('servers/i-1', {**ENTRY, **changed}) is None
+
+
+@pytest.mark.parametrize('name', ['Service', 'Address', 'State', 'Slots'])
+def test_entry_that_lacks_a_field_names_no_target(name):
+    lacking = {key: each for key, each in ENTRY.items() if key != name}
+    assert decoded('servers/i-1', lacking) is None
+
+
+@pytest.mark.parametrize('raw', [b'\xff\x00', b'', b'[]', b'"text"', b'3'])
+def test_bytes_that_cannot_be_read_name_nothing(raw):
+    assert decoded('servers/i-1', raw) is None
+    assert decoded('op/config', raw) is None
+
+
+def test_data_centre_that_is_out():
+    assert decoded('op/evacuate/akl-a', {}) == Outage('akl-a')
+
+
+def test_configuration():
+    split = [{'Service': 'web', 'Weight': 9}, {'Service': 'api', 'Weight': 1}]
+    document = config(12, routes=[route('two', 'safe', None, split)])
+    table = decoded('op/config', document)
+    assert isinstance(table, RoutingTable)
+    assert table.version == 12
+    two = find_route(table, 'shop.example', '/two/x/y')
+    assert two.parts == (Part('web', 9), Part('api', 1))
+    assert two.timeout == 1.0
+    assert find_route(table, 'shop.example', '/tw') is None
+    assert find_route(table, 'other.example', '/two/x') is None
+    assert table.services['web'].cold_per_s == 11
+    assert table.limits.body_bytes == 100_000
+
+
+def test_longest_prefix_wins():
+    longer = route('one', 'safe', 'api')
+    longer[2] = '/one/two/'
+    document = config(1, routes=[route('one', 'safe', 'web'), longer])
+    table = decoded('op/config', document)
+    found = find_route(table, 'shop.example', '/one/two/three')
+    assert found.parts[0].service == 'api'
+
+
+def test_configuration_with_one_bad_route_is_refused_whole():
+    document = config(1, routes=[route('one', 'odd', 'web')])
+    assert decoded('op/config', document) is None
+
+
+def test_times_and_addresses():
+    assert read_time('2.5s') == 2.5
+    assert read_time('1500ms') == 1.5
+    assert read_address('10.0.0.1:80') == ('10.0.0.1', 80)
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -15,8 +15,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 SCHEMAS = ROOT / 'marjoramlead' / 'schema'
 TARGET = ROOT / 'marjoramlead' / 'generated'
-CHECKED = ('contract', 'hosts', 'operations', 'settings', 'sidecar')
-TYPED = (*CHECKED, 'frame', 'hop')
+CHECKED = ('contract', 'hosts', 'operations', 'settings')
+TYPED = (*CHECKED, 'frame', 'hop', 'sidecar')
 
 
 def write_types(schema: Path, path: Path) -> None:
