A node that stops takes nothing that it could not end

Ruled out: the target (still at work, cut by us). Now a request that comes more than 2.8 s after SIGTERM is refused unless its deadline lies before the node's end. The test plays a client that goes on until the node is gone.

--- a/marjoramlead/ingress.py
+++ b/marjoramlead/ingress.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Final
+from typing import Final, NamedTuple
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
@@ -23,7 +23,7 @@
 from marjoramlead.upstream import Fields, Reply
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
-__all__ = ('Ingress', 'handle_request')
+__all__ = ('Ingress', 'Stop', 'handle_request')
 
 SECOND_MS: Final = 1000
 # Wait granted to a request that does not say how long it waits.
@@ -44,12 +44,29 @@
 }
 
 
+class Stop(NamedTuple):
+    """When a node that was told to stop will do so.
+
+    Attributes
+    ----------
+    takes_until
+        Until when every request is taken; later ones must end in time.
+    ends_at
+        When the node ends at the latest.
+    """
+
+    takes_until: float
+    ends_at: float
+
+
 @dataclass(slots=True)
 class Ingress:
     """State of the way in.
 
     Attributes
     ----------
+    stop
+        Set once the node was told to stop.
     in_flight
         Requests that have no final answer yet.
     held_bytes
@@ -63,7 +80,7 @@
     split: SplitState
     in_flight: int = 0
     held_bytes: int = 0
-    is_draining: bool = False
+    stop: Stop | None = None
     last_request_at: float = 0
     refused: RecentRefusals = field(default_factory=RecentRefusals)
 
@@ -133,7 +150,18 @@
     arrival.service = choose_part(ingress.split, route)
     wait = _wait_s(req, ingress.dialect.wait_ms)
     arrival.deadline = arrival.began + min(wait, route.timeout)
-    return None
+    return _stop_refusal(ingress, arrival)
+
+
+def _stop_refusal(ingress: Ingress, arrival: _Arrival) -> Refusal | None:
+    """Refuse what could not end before this node does."""
+    stop = ingress.stop
+    if stop is None or arrival.deadline <= stop.ends_at:
+        return None
+    if arrival.began <= stop.takes_until:
+        arrival.deadline = stop.ends_at
+        return None
+    return Refusal(Reason.DRAINING, Verdict.NOT_RUN)
 
 
 async def _read_body(ingress: Ingress, req: StreamRequest) -> bytes | Refusal:
@@ -225,7 +253,7 @@
         )
     if req.is_gone:
         return
-    if ingress.is_draining:
+    if ingress.stop is not None:
         req.channel.persistent = False
         answer.headers.setRawHeaders(b'Connection', [b'close'])
     req.answer(answer)
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -19,7 +19,7 @@
 from marjoramlead.hop_client import HopClient
 from marjoramlead.http_server import Handler, StreamRequest, make_site
 from marjoramlead.inbound import handle_node
-from marjoramlead.ingress import Ingress, handle_request
+from marjoramlead.ingress import Ingress, Stop, handle_request
 from marjoramlead.ledger import Ledger
 from marjoramlead.metrics import Metrics, metrics_text, watch_value
 from marjoramlead.placement import Outlooks
@@ -53,7 +53,7 @@
 # Between two looks at the settings file, which may change without a signal.
 SETTINGS_PERIOD_S: Final = 1.0
 # Clients are told within two questions for readiness, a second apart.
-NOTICE_S: Final = 2.6
+NOTICE_S: Final = 2.8
 # A node that is stopping waits so long after the last request.
 QUIET_S: Final = 0.5
 # What is left of the time to stop when the node goes in any case.
@@ -117,8 +117,8 @@
 
     Attributes
     ----------
-    stop_at
-        When the node ends at the latest, once it was told to stop.
+    loops
+        What runs from time to time.
     """
 
     terms: SidecarTerms
@@ -130,8 +130,6 @@
     feed: Feed
     metrics: Metrics
     outside: Outside
-    stop_from: float = 0
-    stop_at: float = 0
     next_probe_at: float = 0
     next_reload_at: float = 0
     loops: list[LoopingCall] = field(default_factory=list)
@@ -237,7 +235,9 @@
 
 
 def _answer_ready(sidecar: Sidecar, req: StreamRequest) -> None:
-    is_ready = sidecar.world.table is not None and not sidecar.stop_at
+    is_ready = sidecar.world.table is not None and (
+        sidecar.ingress.stop is None
+    )
     status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
     req.answer(Answer(status, Headers(), b''))
 
@@ -303,8 +303,8 @@
     if now >= sidecar.next_reload_at:
         sidecar.next_reload_at = now + SETTINGS_PERIOD_S
         _reload(sidecar)
-    if sidecar.stop_at:
-        _stop_when_idle(sidecar, now)
+    if sidecar.ingress.stop is not None:
+        _stop_when_idle(sidecar, sidecar.ingress.stop, now)
 
 
 def _reload(sidecar: Sidecar) -> None:
@@ -342,21 +342,20 @@
 
 def drain_sidecar(sidecar: Sidecar) -> None:
     """Take no more work, and end once what there is has ended."""
-    if sidecar.stop_at:
+    if sidecar.ingress.stop is not None:
         return
     now = sidecar.reactor.seconds()
-    sidecar.stop_from = now + NOTICE_S
-    sidecar.stop_at = now + sidecar.terms.grace_s - STOP_SPARE_S
-    sidecar.ingress.is_draining = True
+    stop = Stop(now + NOTICE_S, now + sidecar.terms.grace_s - STOP_SPARE_S)
+    sidecar.ingress.stop = stop
     start_gate_drain(sidecar.gate)
     emit('drain', in_flight=sidecar.ingress.in_flight)
 
 
-def _stop_when_idle(sidecar: Sidecar, now: float) -> None:
+def _stop_when_idle(sidecar: Sidecar, stop: Stop, now: float) -> None:
     is_busy = sidecar.ingress.in_flight or sidecar.gate.tasks
     quiet_from = sidecar.ingress.last_request_at + QUIET_S
-    may_end = now >= max(sidecar.stop_from, quiet_from) and not is_busy
-    if may_end or now >= sidecar.stop_at:
+    may_end = now >= max(stop.takes_until, quiet_from) and not is_busy
+    if may_end or now >= stop.ends_at:
         emit(
             'stop',
             in_flight=sidecar.ingress.in_flight,
--- a/tests/test_platform_mesh.py
+++ b/tests/test_platform_mesh.py
@@ -186,6 +186,18 @@
     assert mesh.reactor.stopped
 
 
+def test_node_that_stops_takes_nothing_that_it_could_not_end():
+    mesh = ready_mesh('web', 'web')
+    drain_sidecar(mesh.hosts[0].sidecar)
+    sent = []
+    while not mesh.reactor.stopped:
+        sent.append(mesh.send(mesh.hosts[0]))
+        mesh.advance(0.1)
+    assert {each.status for each in sent if each.sent_at < 3.7} == {200}
+    assert all(each.status in {200, 503} for each in sent)
+    assert mesh.reactor.seconds() <= 1 + 6
+
+
 def test_weights_are_even_over_few_requests():
     mesh = ready_mesh('web', 'api')
     split = [{'Service': 'web', 'Weight': 70}, {'Service': 'api', 'Weight': 30}]
