Gate, probe and runs of the local target apart; links apart from their pools

A good answer no longer clears the suspicion that a target has restarted: only a probe does, since its answer alone tells how long the target is cold.

--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -27,8 +27,9 @@
 )
 from marjoramlead.repeat_budget import RepeatBudget, take_repeat
 from marjoramlead.routes import Route
-from marjoramlead.target_gate import TargetGate, abandon, serve_job
+from marjoramlead.target_gate import TargetGate
 from marjoramlead.target_queue import load_report
+from marjoramlead.target_runs import abandon, serve_job
 from marjoramlead.upstream import Fields, Reply
 from marjoramlead.verdict import Reason, Refusal, Verdict
 from marjoramlead.world import TargetEntry, World, is_usable
--- a/marjoramlead/inbound.py
+++ b/marjoramlead/inbound.py
@@ -29,8 +29,9 @@
 from marjoramlead.http_server import StreamRequest
 from marjoramlead.ledger import Outcome, ask
 from marjoramlead.problems import Answer
-from marjoramlead.target_gate import TargetGate, abandon, serve_job
+from marjoramlead.target_gate import TargetGate
 from marjoramlead.target_queue import load_report
+from marjoramlead.target_runs import abandon, serve_job
 from marjoramlead.upstream import Reply
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
--- /dev/null
+++ b/marjoramlead/link.py
@@ -0,0 +1,282 @@
+"""One connection that carries a request after another, parsed by ``h11``.
+
+``twisted.web.client`` hides what matters here: whether a request was written
+before its connection died, bytes that no request asked for, answers to an
+earlier request, and the acknowledgement of a request by the other node. So
+its place is taken by the parser ``h11`` on a plain protocol.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Final, NamedTuple, cast
+from typing import Protocol as ProtocolType
+
+import h11
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from marjoramlead.verdict import Reason
+
+__all__ = (
+    'Accepts',
+    'Fields',
+    'Link',
+    'LinkFailure',
+    'OnReceipt',
+    'Outgoing',
+    'Reply',
+    'Sent',
+    'value_of',
+)
+
+Fields = Sequence[tuple[bytes, bytes]]
+
+# Bytes of an answer that are held; larger ones count as failed.
+MAX_ANSWER_BYTES: Final = 64_000_000
+MAX_HEAD_BYTES: Final = 65_536
+# Methods whose requests have a length even if their body is empty.
+WITH_BODY: Final = frozenset((b'POST', b'PUT', b'PATCH'))
+
+
+class Outgoing(NamedTuple):
+    """A request to send; the body is framed by its length."""
+
+    method: bytes
+    uri: bytes
+    headers: Fields
+    body: bytes
+
+
+class Reply(NamedTuple):
+    """A whole answer."""
+
+    status: int
+    headers: Fields
+    body: bytes
+
+
+class LinkFailure(NamedTuple):
+    """Why there is no answer.
+
+    Attributes
+    ----------
+    was_sent
+        Whether any of the request may have arrived.
+    """
+
+    reason: Reason
+    was_sent: bool
+
+
+Sent = Result[Reply, LinkFailure]
+Accepts = Callable[[Reply], bool]
+OnReceipt = Callable[[], None]
+
+
+def value_of(fields: Fields, name: bytes) -> str:
+    """Read the first value of a header, given in lower case; or nothing."""
+    for each, raw in fields:
+        if each.lower() == name:
+            return raw.decode('latin-1')
+    return ''
+
+
+class _Transport(ProtocolType):
+    """The part of a TCP transport that is used here."""
+
+    def write(self, chunk: bytes) -> None:
+        """Send bytes."""
+
+    def loseConnection(self) -> None:
+        """Close once all is sent."""
+
+    def abortConnection(self) -> None:
+        """Close at once."""
+
+
+@dataclass(slots=True)
+class _Exchange:
+    """One request on a connection, and what has arrived for it."""
+
+    outgoing: Outgoing
+    accepts: Accepts
+    on_receipt: OnReceipt
+    done: Deferred[Sent]
+    head: h11.Response | None = None
+    chunks: list[bytes] = field(default_factory=list)
+    received: int = 0
+
+
+class Link(Protocol):
+    """A connection that is kept between requests.
+
+    Attributes
+    ----------
+    is_open
+        Whether another request may be sent.
+    on_free
+        Called with each whole answer after which the link may be used again.
+    on_lost
+        Called when the connection has ended.
+    """
+
+    transport: _Transport  # type: ignore[assignment]  # what TCP has
+
+    def __init__(
+        self,
+        on_free: 'Callable[[Link, Reply], None]',
+        on_lost: 'Callable[[Link], None]',
+    ) -> None:
+        self.is_open = False
+        self.on_free = on_free
+        self.on_lost = on_lost
+        self._parser = _new_parser()
+        self._exchange: _Exchange | None = None
+
+    def connectionMade(self) -> None:
+        """Note that requests may be sent."""
+        self.is_open = True
+
+    def exchange(
+        self,
+        outgoing: Outgoing,
+        accepts: Accepts,
+        on_receipt: OnReceipt,
+    ) -> Deferred[Sent]:
+        """Send a request; cancelling the result closes the connection."""
+        done: Deferred[Sent] = Deferred(lambda _done: self.abort())
+        self._exchange = _Exchange(outgoing, accepts, on_receipt, done)
+        self.transport.write(_write_request(self._parser, outgoing))
+        return done
+
+    def dataReceived(self, chunk: bytes) -> None:
+        """Read bytes; those that no request asked for end the connection."""
+        if self._exchange is None:
+            self.abort()
+        else:
+            self._feed(chunk)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """End an answer that lasts until the end, or fail the request."""
+        self.is_open = False
+        self.on_lost(self)
+        if self._exchange is not None and reason.check(ConnectionDone):
+            self._feed(b'')
+        self._fail(Reason.TARGET_FAILED)
+
+    def close(self) -> None:
+        """Close after what was written has been sent."""
+        if self.is_open:
+            self.is_open = False
+            self.transport.loseConnection()
+
+    def abort(self) -> None:
+        """Close at once."""
+        self.is_open = False
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def _feed(self, chunk: bytes) -> None:
+        try:
+            self._parser.receive_data(chunk)
+        except h11.RemoteProtocolError:
+            self._refuse(Reason.BAD_ANSWER)
+        else:
+            self._read_events()
+
+    def _read_events(self) -> None:
+        while self._exchange is not None:
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError:
+                self._refuse(Reason.BAD_ANSWER)
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            self._on_event(self._exchange, event)
+
+    def _on_event(self, exchange: _Exchange, event: object) -> None:
+        if isinstance(event, h11.InformationalResponse):
+            exchange.on_receipt()
+        elif isinstance(event, h11.Response):
+            exchange.head = event
+        elif isinstance(event, h11.Data):
+            exchange.chunks.append(bytes(event.data))
+            exchange.received += len(event.data)
+            if exchange.received > MAX_ANSWER_BYTES:
+                self._refuse(Reason.BAD_ANSWER)
+        elif isinstance(event, h11.EndOfMessage):
+            self._on_end(exchange)
+        else:
+            self._refuse(Reason.TARGET_FAILED)
+
+    def _on_end(self, exchange: _Exchange) -> None:
+        head = cast(h11.Response, exchange.head)
+        reply = Reply(
+            head.status_code,
+            head.headers.raw_items(),
+            b''.join(exchange.chunks),
+        )
+        if not exchange.accepts(reply):
+            self._skip(exchange)
+            return
+        self._exchange = None
+        if self._is_reusable():
+            self._parser.start_next_cycle()
+            self.on_free(self, reply)
+        else:
+            self.close()
+        exchange.done.callback(Ok(reply))
+
+    def _is_reusable(self) -> bool:
+        parser = self._parser
+        is_done = (
+            parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        )
+        return is_done and self.is_open and not parser.trailing_data[0]
+
+    def _skip(self, exchange: _Exchange) -> None:
+        """Drop the answer of another request, and wait for the next one."""
+        if self._parser.their_state is not h11.DONE:
+            self._refuse(Reason.BAD_ANSWER)
+            return
+        trailing = self._parser.trailing_data[0]
+        exchange.head = None
+        exchange.chunks = []
+        self._parser = _new_parser()
+        _write_request(self._parser, exchange.outgoing)
+        if trailing:  # to the parser, no bytes mean the end
+            self._parser.receive_data(trailing)
+
+    def _refuse(self, reason: Reason) -> None:
+        self.abort()
+        self._fail(reason)
+
+    def _fail(self, reason: Reason) -> None:
+        exchange = self._exchange
+        self._exchange = None
+        if exchange is not None and not exchange.done.called:
+            exchange.done.callback(Error(LinkFailure(reason, was_sent=True)))
+
+
+def _new_parser() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+
+def _write_request(parser: h11.Connection, outgoing: Outgoing) -> bytes:
+    headers = list(outgoing.headers)
+    if outgoing.body or outgoing.method in WITH_BODY:
+        length = str(len(outgoing.body)).encode()
+        headers.append((b'Content-Length', length))
+    request = h11.Request(
+        method=outgoing.method,
+        target=outgoing.uri,
+        headers=headers,
+    )
+    raw = parser.send(request) or b''
+    if outgoing.body:
+        raw += parser.send(h11.Data(data=outgoing.body)) or b''
+    return raw + (parser.send(h11.EndOfMessage()) or b'')
--- a/marjoramlead/porcelain.py
+++ b/marjoramlead/porcelain.py
@@ -23,8 +23,8 @@
     publish,
     published,
 )
-from marjoramlead.reports import DocumentStatus, NodeStatus
 from marjoramlead.parsing import read_text
+from marjoramlead.reports import DocumentStatus, NodeStatus
 
 __all__ = (
     'Checked',
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -26,12 +26,8 @@
 from marjoramlead.problems import Answer
 from marjoramlead.repeat_budget import BudgetTerms, RepeatBudget
 from marjoramlead.routes import SplitState
-from marjoramlead.target_gate import (
-    TargetGate,
-    check_target,
-    follow_world,
-    start_gate_drain,
-)
+from marjoramlead.target_gate import TargetGate, start_gate_drain
+from marjoramlead.target_probe import check_target, follow_world
 from marjoramlead.upstream import Address, Connect, Pool, connect_tcp
 from marjoramlead.world import Decode, World, release_held
 
--- /dev/null
+++ b/marjoramlead/target_runs.py
@@ -0,0 +1,201 @@
+"""Run one request at the local target, and judge what comes back."""
+
+from http import HTTPStatus
+from typing import Final
+
+from twisted.internet.defer import CancelledError, Deferred
+
+from marjoramlead.events import emit
+from marjoramlead.hops import Job, attempt_id
+from marjoramlead.ledger import Outcome, begin, settle
+from marjoramlead.limits import Wait
+from marjoramlead.target_gate import TargetGate, enter, leave, refused
+from marjoramlead.target_probe import check_target, suspect
+from marjoramlead.target_queue import load_report, note_work
+from marjoramlead.upstream import (
+    LinkFailure,
+    Outgoing,
+    Reply,
+    Sent,
+    send,
+    value_of,
+)
+from marjoramlead.verdict import Reason, Refusal, Verdict
+
+__all__ = ('abandon', 'serve_job')
+
+SECOND_MS: Final = 1000
+# A target stops at the deadline that it was given; its word of that is
+# awaited for this long before the connection is closed.
+LAST_WORD_S: Final = 0.1
+# Taken off the time that is handed to a target, for the way back.
+WAY_BACK_S: Final = 0.005
+# Statuses with which a target says that it did not run a request.
+WRONG_TARGET_STATUS: Final = HTTPStatus.MISDIRECTED_REQUEST
+
+
+def serve_job(gate: TargetGate, job: Job) -> Deferred[Outcome]:
+    """Serve one request to its end; cancelling it gives it up."""
+    now = gate.reactor.seconds()
+    attempt = attempt_id(job.request_id, job.attempt)
+    refusal = begin(gate.ledger, attempt, now)
+    if refusal is not None:
+        emit('duplicate', request_id=job.request_id, verdict=refusal.verdict)
+        done: Deferred[Outcome] = Deferred()
+        done.callback(refusal)
+        return done
+    task = Deferred.fromCoroutine(_serve(gate, job))
+    if not task.called:
+        gate.tasks[attempt] = task
+    return task
+
+
+def abandon(gate: TargetGate, job: Job) -> None:
+    """Give up a request whose sender is gone.
+
+    One that may run once only and has begun goes on to its end, so that its
+    sender can still learn its fate.
+    """
+    task = gate.tasks.get(attempt_id(job.request_id, job.attempt))
+    if task is None:
+        return
+    numbers = {
+        number
+        for number, (entry, _began) in gate.queue.running.items()
+        if entry.request_id == job.request_id
+    }
+    if job.repeat == 'idempotent' or not numbers:
+        task.cancel()
+
+
+async def _serve(gate: TargetGate, job: Job) -> Outcome:
+    outcome: Outcome = Refusal(Reason.CALLER_GONE, Verdict.MAY_HAVE_RUN, 0)
+    began = gate.reactor.seconds()
+    number = next(gate.numbers)
+    try:
+        refusal = await enter(gate, job, number)
+    except CancelledError:
+        refusal = refused(Reason.CALLER_GONE)
+    try:
+        if refusal is None:
+            outcome = await _run(gate, job, number)
+        else:
+            outcome = refusal
+    finally:
+        attempt = attempt_id(job.request_id, job.attempt)
+        gate.tasks.pop(attempt, None)
+        now = gate.reactor.seconds()
+        settle(gate.ledger, attempt, outcome, now)
+        _log_end(gate, job, outcome, began)
+    return outcome
+
+
+async def _run(gate: TargetGate, job: Job, number: int) -> Outcome:
+    began = gate.reactor.seconds()
+    try:
+        if began >= job.deadline:
+            return refused(Reason.DEADLINE)
+        sent = await _send(gate, job, began)
+        outcome = _judge(gate, job, sent)
+        if isinstance(outcome, Reply):
+            took = gate.reactor.seconds() - began
+            note_work(gate.queue, gate.queue.running[number][0], took)
+            gate.metrics.work.observe(took)
+        return outcome
+    finally:
+        leave(gate, number)
+        if gate.suspected:
+            check_target(gate)
+
+
+async def _send(gate: TargetGate, job: Job, now: float) -> Sent | None:
+    """Send a job; None if the target did not answer by the deadline."""
+    outgoing = Outgoing(
+        job.method,
+        job.uri,
+        _target_headers(gate, job, now),
+        job.body,
+    )
+    wait = Wait(
+        gate.reactor,
+        send(gate.pool, outgoing, lambda reply: _belongs(gate, job, reply)),
+    )
+    wait.end_at(job.deadline + LAST_WORD_S)
+    return await wait.result()
+
+
+def _belongs(gate: TargetGate, job: Job, reply: Reply) -> bool:
+    echoed = value_of(reply.headers, gate.dialect.request_id)
+    return not echoed or echoed == job.request_id
+
+
+def _target_headers(
+    gate: TargetGate,
+    job: Job,
+    now: float,
+) -> list[tuple[bytes, bytes]]:
+    names = gate.dialect
+    left = max(0, job.deadline - now - WAY_BACK_S)
+    return [
+        *job.headers,
+        (names.wait_ms, str(int(left * SECOND_MS)).encode()),
+        (names.expected_target, job.target_id.encode()),
+        (names.caller_service, job.caller.encode()),
+    ]
+
+
+def _judge(gate: TargetGate, job: Job, sent: Sent | None) -> Outcome:
+    if sent is None:
+        return Refusal(Reason.TIMEOUT, Verdict.MAY_HAVE_RUN, 0, reached=True)
+    if sent.is_error():
+        return _on_link_failure(gate, sent.error)
+    reply = sent.ok
+    names = gate.dialect
+    if value_of(reply.headers, names.not_run):
+        return Refusal(Reason.TARGET_FULL, Verdict.NOT_RUN, 0, reached=True)
+    if reply.status == WRONG_TARGET_STATUS:
+        suspect(gate)
+        return Refusal(Reason.WRONG_TARGET, Verdict.NOT_RUN, 0)
+    is_own = value_of(reply.headers, names.seal) and (
+        value_of(reply.headers, names.request_id) == job.request_id
+    )
+    if not is_own or value_of(reply.headers, b'content-encoding'):
+        return Refusal(Reason.BAD_ANSWER, Verdict.MAY_HAVE_RUN, 0, reached=True)
+    return reply
+
+
+def _on_link_failure(gate: TargetGate, failure: LinkFailure) -> Refusal:
+    suspect(gate)
+    verdict = Verdict.MAY_HAVE_RUN if failure.was_sent else Verdict.NOT_RUN
+    return Refusal(failure.reason, verdict, 0, reached=failure.was_sent)
+
+
+def _log_end(
+    gate: TargetGate,
+    job: Job,
+    outcome: Outcome,
+    began: float,
+) -> None:
+    now = gate.reactor.seconds()
+    load = load_report(gate.queue, now)
+    if isinstance(outcome, Reply):
+        ended, verdict = str(outcome.status), Verdict.RAN
+    else:
+        ended, verdict = outcome.reason.value, outcome.verdict
+    emit(
+        'gate',
+        request_id=job.request_id,
+        target=job.target_id,
+        route=job.route,
+        outcome=ended,
+        verdict=verdict,
+        took_ms=round((now - began) * SECOND_MS),
+        left_ms=round((job.deadline - now) * SECOND_MS),
+        may_wait=job.may_wait,
+        running=len(gate.queue.running),
+        waiting=len(gate.queue.waiting),
+        slots=gate.queue.slots,
+        is_cold=now < gate.queue.cold_until,
+        wait_ms=round(min(load.wait_s, SECOND_MS) * SECOND_MS),
+        revision=gate.world.revision,
+    )
--- a/tests/test_target_queue.py
+++ b/tests/test_target_queue.py
@@ -189,7 +189,7 @@
 
 
 def test_refusal_names_the_time_after_which_there_is_room():
-    ends, refused = play(overload(2, seconds=2), 0.1, 4)
+    _ends, refused = play(overload(2, seconds=2), 0.1, 4)
     assert refused
     assert all(0.05 <= after <= 2 for after in refused.values())
 
