--- a/marjoramlead/collecting.py
+++ b/marjoramlead/collecting.py
@@ -1,5 +1,7 @@
 """Collect a request body whole, so that it can be sent again."""
 
+from typing import Final
+
 from twisted.internet.defer import CancelledError
 
 from marjoramlead.bodies import BodyStream, WholeBody
@@ -7,10 +9,12 @@
 
 __all__ = ('collect_body',)
 
+NO_LIMIT: Final = float('inf')
+
 
 async def collect_body(
     body: BodyStream,
-    limit: float = float('inf'),
+    limit: float = NO_LIMIT,
 ) -> WholeBody | Refusal:
     """Wait for all of a body.
 
--- a/marjoramlead/events.py
+++ b/marjoramlead/events.py
@@ -63,7 +63,9 @@
             timestamp='at',
         ),
     )
-    events.handlers[:] = [handler]
+    for former in list(events.handlers):
+        events.removeHandler(former)
+    events.addHandler(handler)
     events.setLevel(logging.INFO)
     events.propagate = False
 
@@ -74,7 +76,8 @@
         return
     log.second = second
     log.written.clear()
-    left_out, log.left_out = log.left_out, Counter()
+    left_out = log.left_out
+    log.left_out = Counter()
     for kind, count in left_out.items():
         events.info('left_out', extra={'of': kind, 'count': count})
 
--- a/marjoramlead/feed.py
+++ b/marjoramlead/feed.py
@@ -16,6 +16,7 @@
 from marjoramlead.clock import Clock
 from marjoramlead.errors import Fault
 from marjoramlead.events import emit
+from marjoramlead.generated.hop_types import FeedDocument
 from marjoramlead.hops import FEED_PATH, decode_feed, feed_records
 from marjoramlead.limits import Wait
 from marjoramlead.upstream import (
@@ -23,6 +24,7 @@
     Connect,
     Outgoing,
     Pool,
+    close_idle,
     connect_tcp,
     send,
 )
@@ -193,25 +195,38 @@
     if not peers:
         return
     address = feed.rng.choice(peers)
+    raw = await _read_peer(feed, address)
+    if raw is None:
+        return
+    decoded = decode_feed(raw)
+    if decoded.is_error():
+        emit('hop_unreadable', why=decoded.error)
+    elif decoded.ok['revision'] >= feed.world.revision:
+        _take_from_peer(feed, decoded.ok, address)
+
+
+async def _read_peer(feed: Feed, address: Address) -> bytes | None:
     uri = FEED_PATH + b'?after=%d' % feed.world.revision
     pool = Pool(feed.reactor, address, 0, feed.connect)
     outgoing = Outgoing(b'GET', uri, [(b'Host', b'node')], b'')
     wait = Wait(feed.reactor, send(pool, outgoing))
     wait.end_at(feed.reactor.seconds() + PEER_LIMIT_S)
     sent = await wait.result()
+    close_idle(pool)
     if sent is None or sent.is_error() or sent.ok.status != HTTP_OK:
-        return
-    decoded = decode_feed(sent.ok.body)
-    if decoded.is_error():
-        emit('hop_unreadable', why=decoded.error)
-        return
-    document = decoded.ok
+        return None
+    return sent.ok.body
+
+
+def _take_from_peer(
+    feed: Feed,
+    document: FeedDocument,
+    address: Address,
+) -> None:
     now = feed.reactor.seconds()
-    if document['revision'] < feed.world.revision:
-        return
     confirm(feed.world, document['revision'], now - document['age_s'], now)
     changed = apply_records(feed.world, feed_records(document), now)
-    _announce(feed, changed, f'{address[0]}')
+    _announce(feed, changed, address[0])
 
 
 def _announce(feed: Feed, changed: list[Record], origin: str) -> None:
--- a/marjoramlead/ledger.py
+++ b/marjoramlead/ledger.py
@@ -81,7 +81,8 @@
     if page is None:
         return
     page.outcome = outcome
-    askers, page.askers = page.askers, []
+    askers = page.askers
+    page.askers = []
     for asker in askers:
         asker.callback(outcome)
     if isinstance(outcome, Reply):
--- a/marjoramlead/limits.py
+++ b/marjoramlead/limits.py
@@ -9,10 +9,10 @@
 
 __all__ = ('Wait',)
 
-T = TypeVar('T')
+Awaited = TypeVar('Awaited')
 
 
-class Wait(Generic[T]):
+class Wait(Generic[Awaited]):
     """A result that is awaited until a deadline.
 
     Attributes
@@ -24,11 +24,11 @@
     def __init__(
         self,
         reactor: Clock,
-        coroutine: 'Coroutine[Deferred[object], object, T]',
+        coroutine: 'Coroutine[Deferred[object], object, Awaited]',
     ) -> None:
         self.is_over = False
         self._reactor = reactor
-        self._pending: Deferred[T] = Deferred.fromCoroutine(coroutine)
+        self._pending: Deferred[Awaited] = Deferred.fromCoroutine(coroutine)
         self._timers: list[Timer] = []
 
     def end_at(self, deadline: float) -> Timer:
@@ -38,7 +38,7 @@
         self._timers.append(timer)
         return timer
 
-    async def result(self) -> T | None:
+    async def result(self) -> Awaited | None:
         """Return the result, or None if a deadline came first."""
         try:
             return await self._pending
--- a/marjoramlead/platform/__main__.py
+++ b/marjoramlead/platform/__main__.py
@@ -14,7 +14,7 @@
 
 EXIT_BAD_SETTINGS = 2
 
-T = TypeVar('T')
+Loaded = TypeVar('Loaded')
 
 
 def main() -> int:
@@ -55,20 +55,23 @@
 
 def _reloader(
     path: Path,
-    load: Callable[[Path], T],
-) -> Callable[[], T | None]:
+    load: Callable[[Path], Loaded],
+) -> Callable[[], Loaded | None]:
     """Return what reads the settings again once their text has changed."""
-    known = path.read_bytes()
+    known = [path.read_bytes()]
 
-    def reload() -> T | None:
-        nonlocal known
+    def reload() -> Loaded | None:
         try:
             text = path.read_bytes()
-            if text == known:
-                return None
-            known = text
+        except OSError as exc:
+            emit('reload_refused', reason=str(exc))
+            return None
+        if text == known[0]:
+            return None
+        known[0] = text
+        try:
             return load(path)
-        except (OSError, SettingsError) as exc:
+        except SettingsError as exc:
             emit('reload_refused', reason=str(exc))
             return None
 
--- a/marjoramlead/platform/decoding.py
+++ b/marjoramlead/platform/decoding.py
@@ -31,7 +31,7 @@
 __all__ = ('decode_record', 'read_address', 'read_time')
 
 SECOND_MS: Final = 1000
-REPEATS: Final[Mapping[str, Repeat]] = {
+REPEATS: Final[Mapping[str, Repeat]] = {  # noqa: WPS407  # nothing changes it
     'safe': 'idempotent',
     'unsafe': 'at_most_once',
     'upload': 'upload',
@@ -46,15 +46,8 @@
 
 def decode_record(record: Record, now: float) -> Decoded:
     """Decode one item of the store; None for one that names nothing."""
-    if record.body is None:
-        return None
     try:
-        if record.key == CONFIG_KEY:
-            return _table(msgspec.json.decode(record.body))
-        if record.key.startswith(OUTAGE_PREFIX):
-            return Outage(record.key.removeprefix(OUTAGE_PREFIX))
-        if record.key.startswith(TARGET_PREFIX):
-            return _target(record, now)
+        return _decoded(record, now)
     except (KeyError, TypeError, ValueError) as exc:
         emit(
             'record_refused',
@@ -65,6 +58,16 @@
     return None
 
 
+def _decoded(record: Record, now: float) -> Decoded:
+    if record.key.startswith(OUTAGE_PREFIX):
+        return Outage(record.key.removeprefix(OUTAGE_PREFIX))
+    if record.key == CONFIG_KEY:
+        return _table(msgspec.json.decode(record.body or b''))
+    if record.key.startswith(TARGET_PREFIX):
+        return _target(record, now)
+    return None
+
+
 def read_time(raw: object) -> float:
     """Read seconds from a number with its unit, such as ``1500ms``.
 
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -1,7 +1,6 @@
 """The one client of the platform's store: list it and watch it."""
 
 from base64 import b64decode
-from binascii import Error as Base64Error
 from http import HTTPStatus
 from typing import Any, Final
 from urllib.parse import urlencode
@@ -59,7 +58,9 @@
         after = ''
         for _page in range(MAX_PAGES):
             query = {'PathPrefix': '', 'after': after}
-            page = await self._get('kv-range', query, 0)
+            page = await self._get(  # noqa: WPS476  # pages follow each other
+                'kv-range', query, 0
+            )
             if page.is_error():
                 return Error(page.error)
             revision = revision or page.ok['CurrentRev']
@@ -128,7 +129,7 @@
         if not each.get('Deleted'):
             try:
                 body = b64decode(each['Value'], validate=True)
-            except (Base64Error, KeyError, TypeError, ValueError) as exc:
+            except (KeyError, TypeError, ValueError) as exc:
                 emit('record_refused', key=each.get('Key'), reason=str(exc))
                 body = b''
         records.append(Record(each['Key'], body, each['Revision']))
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -248,29 +248,30 @@
     queue = sidecar.gate.queue
     world = sidecar.world
     now = sidecar.reactor.seconds
-    for name, text, read in (
-        ('target_running', 'At the target.', lambda: len(queue.running)),
-        ('target_waiting', 'Waiting for it.', lambda: len(queue.waiting)),
-        ('target_slots', 'Slots of the target.', lambda: queue.slots),
-        (
-            'target_cold_seconds',
-            'For which the target stays cold.',
-            lambda: max(0, queue.cold_until - now()),
-        ),
-        (
-            'news_age_seconds',
-            'Since the store was known to hold nothing newer.',
-            lambda: now() - world.confirmed_at,
-        ),
-        ('revision', 'Of the store, followed.', lambda: world.revision),
-        (
-            'version',
-            'Of the routing in force.',
-            lambda: world.table.version if world.table else 0,
-        ),
-    ):
+
+    def watch(name: str, text: str, read: Callable[[], float]) -> None:
         watch_value(sidecar.metrics, name, text, read)
 
+    watch('target_running', 'At the target.', lambda: len(queue.running))
+    watch('target_waiting', 'Waiting for it.', lambda: len(queue.waiting))
+    watch('target_slots', 'Slots of the target.', lambda: queue.slots)
+    watch(
+        'target_cold_seconds',
+        'For which the target stays cold.',
+        lambda: max(0, queue.cold_until - now()),
+    )
+    watch(
+        'news_age_seconds',
+        'Since the store was known to hold nothing newer.',
+        lambda: now() - world.confirmed_at,
+    )
+    watch('revision', 'Of the store, followed.', lambda: world.revision)
+    watch(
+        'version',
+        'Of the routing in force.',
+        lambda: world.table.version if world.table else 0,
+    )
+
 
 def _peers(sidecar: Sidecar) -> list[Address]:
     port = sidecar.terms.inbound[1]
--- a/marjoramlead/target_queue.py
+++ b/marjoramlead/target_queue.py
@@ -152,7 +152,7 @@
 def forget(queue: TargetQueue, number: int) -> bool:
     """Take a request out that waits; say whether it did wait."""
     before = len(queue.waiting)
-    queue.waiting = [each for each in queue.waiting if each[2] != number]
+    queue.waiting = [each for each in queue.waiting if each[3].number != number]
     heapq.heapify(queue.waiting)
     return len(queue.waiting) < before
 
@@ -222,7 +222,8 @@
 
 def load_report(queue: TargetQueue, now: float) -> LoadReport:
     """Say what one more request may expect."""
-    room = max(0, queue.slots - len(queue.running) - len(queue.waiting))
+    taken = len(queue.running) + len(queue.waiting)
+    room = max(0, queue.slots - taken)
     if now < queue.cold_until:
         room = min(room, int(_tokens(queue, now)))
     wait = 0 if room else _wait_behind_all(queue, now)
@@ -295,7 +296,8 @@
     """Play the slots forward until one is free after those ahead."""
     if queue.slots <= 0:
         return float('inf')
-    free_at = [now] * max(0, queue.slots - len(queue.running))
+    free = max(0, queue.slots - len(queue.running))
+    free_at = [now for _slot in range(free)]
     for entry, began in queue.running.values():
         free_at.append(_expected_end(queue, entry, began, now))
     heapq.heapify(free_at)
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -82,30 +82,46 @@
         else:
             outcome = refusal
     finally:
-        attempt = attempt_id(job.request_id, job.attempt)
-        gate.tasks.pop(attempt, None)
-        now = gate.reactor.seconds()
-        settle(gate.ledger, attempt, outcome, now)
-        _log_end(gate, job, outcome, began)
+        _end(gate, job, outcome, began)
     return outcome
 
 
+def _end(
+    gate: TargetGate,
+    job: Job,
+    outcome: Outcome,
+    began: float,
+) -> None:
+    attempt = attempt_id(job.request_id, job.attempt)
+    gate.tasks.pop(attempt, None)
+    settle(gate.ledger, attempt, outcome, gate.reactor.seconds())
+    _log_end(gate, job, outcome, began)
+
+
 async def _run(gate: TargetGate, job: Job, number: int) -> Outcome:
     began = gate.reactor.seconds()
     try:
-        if began >= job.deadline:
-            return refused(Reason.DEADLINE)
-        sent = await _send(gate, job, began)
-        outcome = _judge(gate, job, sent)
-        if isinstance(outcome, Reply):
-            took = gate.reactor.seconds() - began
-            note_work(gate.queue, gate.queue.running[number][0], took)
-            gate.metrics.work.observe(took)
-        return outcome
+        outcome = await _run_from(gate, job, began)
     finally:
-        leave(gate, number)
-        if gate.suspected:
-            check_target(gate)
+        entry = gate.queue.running[number][0]
+        _leave(gate, number)
+    if isinstance(outcome, Reply):
+        took = gate.reactor.seconds() - began
+        note_work(gate.queue, entry, took)
+        gate.metrics.work.observe(took)
+    return outcome
+
+
+def _leave(gate: TargetGate, number: int) -> None:
+    leave(gate, number)
+    if gate.suspected:
+        check_target(gate)
+
+
+async def _run_from(gate: TargetGate, job: Job, began: float) -> Outcome:
+    if began >= job.deadline:
+        return refused(Reason.DEADLINE)
+    return _judge(gate, job, await _send(gate, job, began))
 
 
 async def _send(gate: TargetGate, job: Job, now: float) -> Sent | None:
--- a/marjoramlead/world.py
+++ b/marjoramlead/world.py
@@ -225,16 +225,21 @@
         _remove(world, record.key, now)
         return
     decoded = world.decode(record, now)
-    if isinstance(decoded, TargetEntry):
+    if isinstance(decoded, RoutingTable):
+        _put_table(world, decoded, now)
+    elif isinstance(decoded, TargetEntry):
         world.held.pop(record.key, None)
         world.targets[record.key] = decoded
     elif isinstance(decoded, Outage):
         world.out[decoded.data_centre] = record.key
-    elif decoded is None:
+    else:
         world.targets.pop(record.key, None)
         world.refused += 1
-    elif world.table is None or decoded.version > world.table.version:
-        world.table = decoded
+
+
+def _put_table(world: World, table: RoutingTable, now: float) -> None:
+    if world.table is None or table.version > world.table.version:
+        world.table = table
         world.table_since = now
 
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -139,7 +139,8 @@
 
 def _tell(store: StoreStandIn, event: Item) -> None:
     store.history.append(event)
-    waiting, store.waiting = store.waiting, []
+    waiting = store.waiting
+    store.waiting = []
     for after, req in waiting:
         _reply_events(store, req, after)
 
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -13,6 +13,9 @@
 SECOND_MS = 1000
 WORK_S = 0.1
 EXTRA_AFTER_S = 0.05
+EXTRA_ANSWER = (
+    b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Request-Id: %s\r\n\r\n'
+)
 
 
 @dataclass
@@ -116,8 +119,7 @@
     transport = req.channel.transport
     req.answer(Answer(status, fields, request_id.encode()))
     if target.fault == 'extra':
-        extra = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Request-Id: %s\r\n'
-        raw = extra % request_id.encode() + b'\r\n'
+        raw = EXTRA_ANSWER % request_id.encode()
         target.reactor.callLater(EXTRA_AFTER_S, transport.write, raw)
 
 
--- a/tests/test_target_queue.py
+++ b/tests/test_target_queue.py
@@ -113,8 +113,12 @@
 
     @invariant()
     def books_agree(self):
-        running = {n for n, state in self.states.items() if state == 'running'}
-        waiting = {n for n, state in self.states.items() if state == 'waiting'}
+        running = {
+            each for each, state in self.states.items() if state == 'running'
+        }
+        waiting = {
+            each for each, state in self.states.items() if state == 'waiting'
+        }
         assert running == set(self.queue.running)
         assert waiting == {each[2] for each in self.queue.waiting}
 
