Repeats: calls of repeated runs have room in the budget; shedding targets are avoided

Each node kept to its share, but calls made by a repeated run count as repeats at the service that they go to. The part of the budget that is used goes from 0.7 to 0.4, which covers two levels of calls, and what a target turns away now counts in its outlook, fading with a half-life of 2 s.

--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -20,7 +20,7 @@
 from marjoramlead.placement import (
     Offer,
     Outlooks,
-    note_connected,
+    note_outcome,
     note_report,
     note_sent,
     rank_targets,
@@ -99,8 +99,6 @@
 
     Attributes
     ----------
-    arrivals
-        Times that a target got the request.
     runs
         Targets that may have run it.
     offers
@@ -110,7 +108,6 @@
     """
 
     began: float
-    arrivals: int = 0
     runs: int = 0
     offers: int = 0
     asked: set[str] = field(default_factory=set)
@@ -252,30 +249,42 @@
     outcome: Outcome,
 ) -> bool:
     """Note what an offer came to; whether it ends the request."""
-    outlook = dispatcher.outlooks.of(target.target_id)
+    _note_outcome(dispatcher, target, outcome)
     if isinstance(outcome, Reply):
-        has_failed = outcome.status >= SERVER_ERROR
-        note_connected(outlook, has_failed=has_failed)
         attempts.best = outcome
-        attempts.arrivals += 1
         attempts.runs += 1
         attempts.failed.add(target.target_id)
+        has_failed = outcome.status >= SERVER_ERROR
         return not has_failed or not _may_repeat(dispatcher, request, attempts)
     attempts.last = outcome
     if outcome.retry_after:
         attempts.retry_after.append(outcome.retry_after)
     if outcome.reason not in MAY_CHANGE:
         attempts.failed.add(target.target_id)
-    if outcome.reached:
-        attempts.arrivals += 1
     if outcome.verdict is not Verdict.NOT_RUN:
-        note_connected(outlook, has_failed=True)
         attempts.runs += 1
         attempts.doubt = outcome
         return not _may_repeat(dispatcher, request, attempts)
     return outcome.reached and not _has_budget(dispatcher, request)
 
 
+def _note_outcome(
+    dispatcher: Dispatcher,
+    target: TargetEntry,
+    outcome: Outcome,
+) -> None:
+    """Learn how a target treats the requests that reach it."""
+    if isinstance(outcome, Reply):
+        has_failed = outcome.status >= SERVER_ERROR
+    elif outcome.reached:
+        has_failed = True
+    else:
+        return
+    outlook = dispatcher.outlooks.of(target.target_id)
+    now = dispatcher.reactor.seconds()
+    note_outcome(outlook, now, has_failed=has_failed)
+
+
 def _may_repeat(
     dispatcher: Dispatcher,
     request: Request,
--- a/marjoramlead/placement.py
+++ b/marjoramlead/placement.py
@@ -22,8 +22,8 @@
     'Offer',
     'Outlook',
     'Outlooks',
-    'note_connected',
     'note_failure',
+    'note_outcome',
     'note_report',
     'note_sent',
     'rank_targets',
@@ -46,7 +46,10 @@
 # for a failure rate of one.
 FAILURE_S: Final = 1.0
 # Weight of a new outcome in a target's failure rate.
-FAILURE_SMOOTHING: Final = 0.1
+FAILURE_SMOOTHING: Final = 0.15
+# A failure rate halves in this time, so that a target that was left out is
+# tried again.
+FAILURE_HALF_LIFE_S: Final = 2.0
 KILOBYTE: Final = 1024
 
 
@@ -63,7 +66,8 @@
     failures
         Failures in a row to reach the host.
     failure_rate
-        Share of late requests that the target failed, smoothed.
+        Share of the latest requests that the target failed or turned away,
+        smoothed, at ``failed_at``.
     """
 
     report: LoadReport | None = None
@@ -72,6 +76,7 @@
     spare_until: float = 0
     failures: int = 0
     failure_rate: float = 0
+    failed_at: float = 0
 
 
 class Offer(NamedTuple):
@@ -125,7 +130,7 @@
 
 def expected_s(outlook: Outlook, now: float) -> float:
     """Seconds to an answer that are expected of a target, way not counted."""
-    penalty = outlook.failure_rate * FAILURE_S
+    penalty = failure_rate(outlook, now) * FAILURE_S
     report = outlook.report
     if report is None:
         return UNKNOWN_WORK_S * max(1, outlook.sent_since) + penalty
@@ -150,11 +155,19 @@
     outlook.sent_since += 1
 
 
-def note_connected(outlook: Outlook, *, has_failed: bool) -> None:
-    """Learn from how a request ended that the target ran."""
-    outlook.failure_rate += FAILURE_SMOOTHING * (
-        has_failed - outlook.failure_rate
-    )
+def note_outcome(outlook: Outlook, now: float, *, has_failed: bool) -> None:
+    """Learn from how a request ended that reached the target."""
+    rate = failure_rate(outlook, now)
+    outlook.failure_rate = rate + FAILURE_SMOOTHING * (has_failed - rate)
+    outlook.failed_at = now
+
+
+def failure_rate(outlook: Outlook, now: float) -> float:
+    """Share of requests that the target is expected to fail."""
+    if not outlook.failure_rate:
+        return 0
+    age = now - outlook.failed_at
+    return outlook.failure_rate * 0.5 ** (age / FAILURE_HALF_LIFE_S)
 
 
 def note_failure(outlook: Outlook, now: float) -> None:
--- a/marjoramlead/repeat_budget.py
+++ b/marjoramlead/repeat_budget.py
@@ -12,9 +12,10 @@
 
 __all__ = ('BudgetTerms', 'RepeatBudget', 'note_request', 'take_repeat')
 
-# Part of what is granted that is used: windows slide, and what a node counts
-# in its window may be counted in the next one elsewhere.
-USED_SHARE: Final = 0.7
+# Part of what is granted that is used. Calls that a repeated run makes count as
+# repeats at the service that they go to, so each level of calls adds as much
+# again; this covers two levels.
+USED_SHARE: Final = 0.4
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,6 +6,7 @@
     Offer,
     Outlooks,
     note_failure,
+    note_outcome,
     note_report,
     note_sent,
     rank_targets,
@@ -65,3 +66,20 @@
         note_sent(outlooks.of(first))
         counts[first] += 1
     assert max(counts.values()) - min(counts.values()) <= 4
+
+
+def test_target_that_turns_requests_away_is_avoided_then_tried_again():
+    outlooks = Outlooks(Random(1))
+    both = [target('t1'), target('t2')]
+    for each in both:
+        note_report(outlooks.of(each.target_id), LoadReport(2, 0, 0.1), 1.0)
+    for number in range(20):
+        shed = outlooks.of('t1')
+        note_outcome(shed, 1.0, has_failed=bool(number % 2))
+    note_report(outlooks.of('t2'), LoadReport(0, 0.2, 0.1), 1.0)
+    assert ranked(outlooks, both)[0] == 't2'
+    for each in both:
+        note_report(outlooks.of(each.target_id), LoadReport(2, 0, 0.1), 12.0)
+    note_sent(outlooks.of('t2'))
+    note_sent(outlooks.of('t2'))
+    assert ranked(outlooks, both, now=12.0)[0] == 't1'
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -32,3 +32,15 @@
         asked = sum(at > now - 10 for at in requests)
         repeated = sum(at > now - 10 for at in repeats)
         assert repeated <= 0.2 * asked + 60
+
+
+def test_repeats_of_a_caller_and_its_calls_together_keep_to_the_budget():
+    budget = RepeatBudget(TERMS, lambda: 1)
+    callers = called = 0
+    for step in range(4000):
+        now = step / 400
+        note_request(budget, 'caller', now)
+        note_request(budget, 'called', now)
+        callers += take_repeat(budget, 'caller', now)
+        called += take_repeat(budget, 'called', now)
+    assert callers + called <= 0.2 * 4000 + 60
