A stopping node ends once clients were told; its target serves others meanwhile

New requests are refused from 2.8 s after SIGTERM on, after two questions for readiness; other nodes may use the target for the first 1.5 s of that.

--- a/marjoramlead/ingress.py
+++ b/marjoramlead/ingress.py
@@ -50,7 +50,7 @@
     Attributes
     ----------
     takes_until
-        Until when every request is taken; later ones must end in time.
+        Until when requests are taken.
     ends_at
         When the node ends at the latest.
     """
@@ -71,8 +71,6 @@
         Requests that have no final answer yet.
     held_bytes
         Bytes of bodies that are held for them.
-    last_request_at
-        When a request came last.
     """
 
     dispatcher: Dispatcher
@@ -81,7 +79,6 @@
     in_flight: int = 0
     held_bytes: int = 0
     stop: Stop | None = None
-    last_request_at: float = 0
     refused: RecentRefusals = field(default_factory=RecentRefusals)
 
 
@@ -100,7 +97,6 @@
 def handle_request(ingress: Ingress, req: StreamRequest) -> None:
     """Serve one request to its final answer; never raises."""
     now = ingress.dispatcher.reactor.seconds()
-    ingress.last_request_at = now
     ingress.in_flight += 1
     arrival = _Arrival(_header(req, ingress.dialect.request_id), now)
     served = Deferred.fromCoroutine(_serve(ingress, req, arrival))
@@ -154,14 +150,14 @@
 
 
 def _stop_refusal(ingress: Ingress, arrival: _Arrival) -> Refusal | None:
-    """Refuse what could not end before this node does."""
+    """Refuse what comes after clients were told to stay away."""
     stop = ingress.stop
-    if stop is None or arrival.deadline <= stop.ends_at:
+    if stop is None:
         return None
-    if arrival.began <= stop.takes_until:
-        arrival.deadline = stop.ends_at
-        return None
-    return Refusal(Reason.DRAINING, Verdict.NOT_RUN)
+    if arrival.began > stop.takes_until:
+        return Refusal(Reason.DRAINING, Verdict.NOT_RUN)
+    arrival.deadline = min(arrival.deadline, stop.ends_at)
+    return None
 
 
 async def _read_body(ingress: Ingress, req: StreamRequest) -> bytes | Refusal:
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -50,10 +50,12 @@
 SETTINGS_PERIOD_S: Final = 1.0
 # Clients are told within two questions for readiness, a second apart.
 NOTICE_S: Final = 2.8
-# A node that is stopping waits so long after the last request.
-QUIET_S: Final = 0.5
-# What is left of the time to stop when the node goes in any case.
-STOP_SPARE_S: Final = 0.3
+# Other nodes may use the target for so long after that; what they send ends
+# before the clients of this host are gone.
+GATE_OPEN_S: Final = 1.5
+# What is left of the time to stop when the node goes in any case; the process
+# takes a part of a second to end.
+STOP_SPARE_S: Final = 0.8
 
 
 class SidecarTerms(NamedTuple):
@@ -344,14 +346,13 @@
     now = sidecar.reactor.seconds()
     stop = Stop(now + NOTICE_S, now + sidecar.terms.grace_s - STOP_SPARE_S)
     sidecar.ingress.stop = stop
-    start_gate_drain(sidecar.gate)
+    sidecar.reactor.callLater(GATE_OPEN_S, start_gate_drain, sidecar.gate)
     emit('drain', in_flight=sidecar.ingress.in_flight)
 
 
 def _stop_when_idle(sidecar: Sidecar, stop: Stop, now: float) -> None:
     is_busy = sidecar.ingress.in_flight or sidecar.gate.tasks
-    quiet_from = sidecar.ingress.last_request_at + QUIET_S
-    may_end = now >= max(stop.takes_until, quiet_from) and not is_busy
+    may_end = now >= stop.takes_until and not is_busy
     if may_end or now >= stop.ends_at:
         emit(
             'stop',
