--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -74,6 +74,7 @@
     is_draining: bool = False
     suspected: bool = False
     is_probing: bool = False
+    probed_at: float = 0
     waker: Timer | None = None
 
 
--- a/marjoramlead/target_probe.py
+++ b/marjoramlead/target_probe.py
@@ -68,12 +68,24 @@
     check_target(gate)
 
 
-def check_target(gate: TargetGate) -> None:
-    """Probe the target, unless a probe is under way or it has no slot free."""
+def check_target(gate: TargetGate, least_s: float = 0) -> None:
+    """Probe the target, unless a probe is under way or it has no slot free.
+
+    Parameters
+    ----------
+    gate
+        Of the target.
+    least_s
+        Seconds that must have passed since the last probe.
+    """
+    now = gate.reactor.seconds()
     has_slot = len(gate.queue.running) < gate.queue.slots
     if gate.is_probing or gate.entry is None or not has_slot:
         return
+    if now < gate.probed_at + least_s:
+        return
     gate.is_probing = True
+    gate.probed_at = now
     Deferred.fromCoroutine(_probe(gate)).addErrback(
         lambda failure: emit('probe_bug', error=failure.getTraceback()),
     )
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -30,6 +30,8 @@
 LAST_WORD_S: Final = 0.1
 # Taken off the time that is handed to a target, for the way back.
 WAY_BACK_S: Final = 0.005
+# Least time between two probes after connections that died.
+PROBE_AGAIN_S: Final = 0.5
 # Statuses with which a target says that it did not run a request.
 WRONG_TARGET_STATUS: Final = HTTPStatus.MISDIRECTED_REQUEST
 
@@ -181,8 +183,17 @@
 
 
 def _on_link_failure(gate: TargetGate, failure: LinkFailure) -> Refusal:
-    suspect(gate)
-    verdict = Verdict.MAY_HAVE_RUN if failure.was_sent else Verdict.NOT_RUN
+    """Judge a connection that could not be made or died.
+
+    A target that has restarted refuses connections first; one that only
+    loses answers does not, and is not cold.
+    """
+    if failure.was_sent:
+        check_target(gate, PROBE_AGAIN_S)
+        verdict = Verdict.MAY_HAVE_RUN
+    else:
+        suspect(gate)
+        verdict = Verdict.NOT_RUN
     return Refusal(failure.reason, verdict, 0, reached=failure.was_sent)
 
 
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -43,6 +43,8 @@
         Most requests that it ever ran at once.
     cold_until
         On the reactor's clock.
+    probe_s
+        Seconds that an answer to a probe takes.
     """
 
     reactor: Clock
@@ -51,6 +53,7 @@
     work_s: float = WORK_S
     fault: str = ''
     cold_until: float = 0
+    probe_s: float = 0
     running: int = 0
     most_running: int = 0
     arrivals: list[Arrival] = field(default_factory=list)
@@ -60,7 +63,7 @@
 def handle_at_target(target: TargetStandIn, req: StreamRequest) -> None:
     """Serve one request, or a probe."""
     if req.uri == b'/health':
-        _answer_probe(target, req)
+        target.reactor.callLater(target.probe_s, _answer_probe, target, req)
         return
     arrival = Arrival(
         _header(req, b'X-Request-Id'),
--- a/tests/test_platform_mesh.py
+++ b/tests/test_platform_mesh.py
@@ -210,6 +210,20 @@
     assert abs(len(mesh.hosts[0].target.arrivals) - 70) <= 1
 
 
+def test_target_that_loses_answers_is_not_taken_for_cold():
+    mesh = ready_mesh('web', slots=9, probe_s=0.1)
+    target = mesh.hosts[0].target
+    target.fault = 'reset'
+    first = [mesh.send(mesh.hosts[0], '/once/x') for _each in range(9)]
+    mesh.advance(0.11)
+    target.fault = ''
+    sent = [mesh.send(mesh.hosts[0], '/once/x') for _each in range(9)]
+    mesh.advance(0.02)
+    one_for_the_probe = 1
+    expected = len(first) + len(sent) - one_for_the_probe
+    assert len(target.arrivals) == expected
+
+
 def test_address_of_another_target_runs_nothing():
     mesh = ready_mesh('web', 'api')
     mesh.hosts[0].target.target_id = 'i-other'
