Repeats: calls of repeated runs are charged where they are made

The node beside a target knows what share of its running requests are repeats, and charges that share of each new request to the budget.

--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -99,6 +99,8 @@
 
     Attributes
     ----------
+    has_arrived
+        Whether a target has had the request.
     runs
         Targets that may have run it.
     offers
@@ -108,6 +110,7 @@
     """
 
     began: float
+    has_arrived: bool = False
     runs: int = 0
     offers: int = 0
     asked: set[str] = field(default_factory=set)
@@ -173,7 +176,7 @@
         dispatcher,
         request,
         target,
-        attempts.offers,
+        attempts,
         may_wait=may_wait,
     )
     outlook = dispatcher.outlooks.of(target.target_id)
@@ -192,13 +195,14 @@
     dispatcher: Dispatcher,
     request: Request,
     target: TargetEntry,
-    attempt: int,
+    attempts: _Attempts,
     *,
     may_wait: bool,
 ) -> Job:
     return Job(
         request_id=request.request_id,
-        attempt=attempt,
+        attempt=attempts.offers,
+        is_repeat=attempts.has_arrived,
         target_id=target.target_id,
         route=request.route.name,
         repeat=request.route.repeat,
@@ -252,11 +256,13 @@
     _note_outcome(dispatcher, target, outcome)
     if isinstance(outcome, Reply):
         attempts.best = outcome
+        attempts.has_arrived = True
         attempts.runs += 1
         attempts.failed.add(target.target_id)
         has_failed = outcome.status >= SERVER_ERROR
         return not has_failed or not _may_repeat(dispatcher, request, attempts)
     attempts.last = outcome
+    attempts.has_arrived |= outcome.reached
     if outcome.retry_after:
         attempts.retry_after.append(outcome.retry_after)
     if outcome.reason not in MAY_CHANGE:
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -69,6 +69,8 @@
         Those that are meant for the target, none of the hop's own.
     attempt
         Number of this offer; each offer of a request has its own.
+    is_repeat
+        Whether a target has had the request before.
     caller
         Service of the host that the request came from.
     may_wait
@@ -79,6 +81,7 @@
 
     request_id: str
     attempt: int
+    is_repeat: bool
     target_id: str
     route: str
     repeat: Repeat
@@ -98,6 +101,7 @@
     terms: JobTerms = {
         'request_id': job.request_id,
         'attempt': job.attempt,
+        'is_repeat': job.is_repeat,
         'target_id': job.target_id,
         'route': job.route,
         'repeat': job.repeat,
--- a/marjoramlead/inbound.py
+++ b/marjoramlead/inbound.py
@@ -110,6 +110,7 @@
     return Job(
         request_id=terms['request_id'],
         attempt=terms['attempt'],
+        is_repeat=terms['is_repeat'],
         target_id=terms['target_id'],
         route=terms['route'],
         repeat=terms['repeat'],
--- a/marjoramlead/ingress.py
+++ b/marjoramlead/ingress.py
@@ -20,6 +20,7 @@
 from marjoramlead.refusals import RecentRefusals, note_refused
 from marjoramlead.repeat_budget import note_request
 from marjoramlead.routes import Route, SplitState, choose_part, find_route
+from marjoramlead.target_queue import repeat_share
 from marjoramlead.upstream import Fields, Reply
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
@@ -186,7 +187,12 @@
     route = arrival.route
     if route is None:  # _match has found one
         raise AssertionError
-    note_request(dispatcher.budget, arrival.service, arrival.began)
+    note_request(
+        dispatcher.budget,
+        arrival.service,
+        arrival.began,
+        repeat_share(dispatcher.gate.queue),
+    )
     request = Request(
         request_id=arrival.request_id,
         route=route,
--- a/marjoramlead/repeat_budget.py
+++ b/marjoramlead/repeat_budget.py
@@ -12,10 +12,9 @@
 
 __all__ = ('BudgetTerms', 'RepeatBudget', 'note_request', 'take_repeat')
 
-# Part of what is granted that is used. Calls that a repeated run makes count as
-# repeats at the service that they go to, so each level of calls adds as much
-# again; this covers two levels.
-USED_SHARE: Final = 0.4
+# Part of what is granted that is used: windows slide, and what a node counts
+# in its window may be counted in the next one elsewhere.
+USED_SHARE: Final = 0.7
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,48 +36,89 @@
     window_s: float
 
 
+@dataclass(slots=True)
+class Window:
+    """Weighted events of the last seconds.
+
+    Attributes
+    ----------
+    events
+        Time and weight of each, the oldest first.
+    """
+
+    events: deque[tuple[float, float]] = field(default_factory=deque)
+    total: float = 0
+
+    def add(self, now: float, weight: float) -> None:
+        """Count one event."""
+        self.events.append((now, weight))
+        self.total += weight
+
+    def drop(self, until: float) -> None:
+        """Forget what happened up to a time."""
+        while self.events and self.events[0][0] <= until:
+            self.total -= self.events.popleft()[1]
+
+
 @dataclass(slots=True)
 class RepeatBudget:
-    """Requests and repeats of one service in the present window.
+    """Requests and repeats in the present window, by service.
 
     Attributes
     ----------
     nodes
         Tells how many nodes share the fixed number.
-    requests, repeats
-        Times of each, the oldest first.
     """
 
     terms: BudgetTerms
     nodes: Callable[[], int]
-    requests: dict[str, deque[float]] = field(default_factory=dict)
-    repeats: dict[str, deque[float]] = field(default_factory=dict)
+    requests: dict[str, Window] = field(default_factory=dict)
+    repeats: dict[str, Window] = field(default_factory=dict)
 
 
-def note_request(budget: RepeatBudget, service: str, now: float) -> None:
-    """Count the first sending of a client's request."""
-    _recent(budget, budget.requests, service, now).append(now)
+def note_request(
+    budget: RepeatBudget,
+    service: str,
+    now: float,
+    repeat_share: float = 0,
+) -> None:
+    """Count the first sending of a request.
+
+    Parameters
+    ----------
+    budget
+        Of this node.
+    service
+        That the request goes to.
+    now
+        Seconds on the node's monotonic clock.
+    repeat_share
+        How likely the request is a call of a run that was itself a repeat:
+        such a call counts as a repeat, too.
+    """
+    _recent(budget, budget.requests, service, now).add(now, 1)
+    if repeat_share:
+        _recent(budget, budget.repeats, service, now).add(now, repeat_share)
 
 
 def take_repeat(budget: RepeatBudget, service: str, now: float) -> bool:
     """Spend one repeat if the window has one left."""
-    requests = len(_recent(budget, budget.requests, service, now))
+    requests = _recent(budget, budget.requests, service, now).total
     repeats = _recent(budget, budget.repeats, service, now)
     slack = budget.terms.slack / max(1, budget.nodes())
     granted = USED_SHARE * (budget.terms.ratio * requests + slack)
-    if len(repeats) + 1 > granted:
+    if repeats.total + 1 > granted:
         return False
-    repeats.append(now)
+    repeats.add(now, 1)
     return True
 
 
 def _recent(
     budget: RepeatBudget,
-    by_service: dict[str, deque[float]],
+    by_service: dict[str, Window],
     service: str,
     now: float,
-) -> deque[float]:
-    times = by_service.setdefault(service, deque())
-    while times and times[0] <= now - budget.terms.window_s:
-        times.popleft()
-    return times
+) -> Window:
+    window = by_service.setdefault(service, Window())
+    window.drop(now - budget.terms.window_s)
+    return window
--- a/marjoramlead/target_queue.py
+++ b/marjoramlead/target_queue.py
@@ -28,6 +28,7 @@
     'next_start',
     'note_work',
     'offer',
+    'repeat_share',
     'set_cold',
     'start_ready',
     'work_of',
@@ -59,6 +60,8 @@
         Given by the caller, never twice.
     aim_at
         Until when an answer is worth all that it can be.
+    is_repeat
+        Whether a target has had the request before.
     """
 
     number: int
@@ -67,6 +70,7 @@
     priority: int
     aim_at: float
     deadline: float
+    is_repeat: bool = False
 
 
 class LoadReport(NamedTuple):
@@ -230,6 +234,13 @@
     return LoadReport(room, wait, queue.mean_work)
 
 
+def repeat_share(queue: TargetQueue) -> float:
+    """Share of the running requests that a target has had before."""
+    running = queue.running.values()
+    repeats = sum(entry.is_repeat for entry, _began in running)
+    return repeats / len(running) if repeats else 0
+
+
 def empty_queue(queue: TargetQueue) -> list[Entry]:
     """Take out all that waits, because nothing may start here any more."""
     waiting = [each[3] for each in queue.waiting]
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -219,6 +219,7 @@
         took_ms=round((now - began) * SECOND_MS),
         left_ms=round((job.deadline - now) * SECOND_MS),
         may_wait=job.may_wait,
+        priority=job.priority,
         running=len(gate.queue.running),
         waiting=len(gate.queue.waiting),
         slots=gate.queue.slots,
