--- a/marjoramlead/target_queue.py
+++ b/marjoramlead/target_queue.py
@@ -44,6 +44,9 @@
 # and mean work together. Work times scatter, so all of it would be too late
 # for half of those that waited.
 PLANNED_SHARE: Final = 0.9
+# A request that would end within this time is not refused for its aim alone:
+# a caller that was refused would hardly come back sooner.
+PATIENCE_S: Final = 0.25
 # Requests that a cold target may be given at once before its rate binds.
 COLD_BURST: Final = 2.0
 # Longest and shortest time after which a caller is asked to come back.
@@ -259,10 +262,11 @@
     is not answered late throughout. One that is late already has only its
     deadline.
     """
+    last = now + PLANNED_SHARE * (entry.deadline - now)
     planned = now + PLANNED_SHARE * (entry.aim_at - now)
-    if now + work_of(queue, entry, now) <= planned:
-        return min(planned, entry.deadline)
-    return now + PLANNED_SHARE * (entry.deadline - now)
+    if now + work_of(queue, entry, now) > planned:
+        return last
+    return min(last, max(planned, now + PATIENCE_S))
 
 
 def _has_room(queue: TargetQueue, now: float) -> bool:
--- a/tests/test_target_queue.py
+++ b/tests/test_target_queue.py
@@ -206,6 +206,15 @@
     assert isinstance(told, Refusal)
 
 
+def test_short_wait_is_not_refused_for_a_short_aim():
+    queue = TargetQueue(slots=1)
+    queue.work['r'] = 0.05
+    offer(queue, entry(1, 0), 0, may_wait=True)
+    offer(queue, entry(2, 0), 0, may_wait=True)
+    call = entry(3, 0, aim=0.1, wait=0.25)
+    assert offer(queue, call, 0, may_wait=True) is False
+
+
 def test_cold_target_reports_room_for_its_rate_only():
     queue = TargetQueue(slots=9)
     set_cold(queue, 3, 11)
