Operators see what a node believes; settings are checked; the node's life apart

marjoramlead targets and check-settings; /status, /refusals and /metrics on the metrics port; a meaning for each new reason. A body whose last chunk brought the answer no longer finishes its request twice.

--- a/marjoramlead/cli.py
+++ b/marjoramlead/cli.py
@@ -18,8 +18,14 @@
     MarjoramleadError,
     NodeError,
     PublishError,
+    SettingsError,
 )
-from marjoramlead.node_client import fetch_refusal, fetch_status
+from marjoramlead.node_client import (
+    fetch_refusal,
+    fetch_sidecar,
+    fetch_status,
+)
+from marjoramlead.platform.settings import load_terms
 from marjoramlead.porcelain import (
     Progress,
     changes_of,
@@ -33,6 +39,7 @@
     contract_lines,
     progress_line,
     refusal_lines,
+    sidecar_lines,
     status_lines,
 )
 from marjoramlead.verdict import Reason
@@ -43,6 +50,7 @@
 EXIT_NOT_IN_FORCE: Final = 3
 EXIT_NO_ANSWER: Final = 4
 DEFAULT_NODE: Final = '127.0.0.1:8083'
+DEFAULT_SIDECAR: Final = '127.0.0.1:9464'
 DEFAULT_PUBLISHER: Final = 'http://127.0.0.1:7000'
 WAIT_S: Final = 30.0
 
@@ -97,6 +105,8 @@
 
 
 def _is_refusal(exc: MarjoramleadError) -> bool:
+    if isinstance(exc, SettingsError):
+        return True
     if isinstance(exc, PublishError):
         return 'overtaken' in str(exc)
     return isinstance(exc, DocumentError) and not isinstance(exc, NodeError)
@@ -198,6 +208,44 @@
     return _print_lines(status_lines(found))
 
 
+@app.command
+@_reporting
+def targets(
+    *,
+    node: str = DEFAULT_SIDECAR,
+    as_json: Annotated[bool, Parameter(name='--json')] = False,
+) -> int:
+    """Show what a node beside a target believes, with all targets it knows.
+
+    Parameters
+    ----------
+    node
+        Address and port of its metrics.
+    as_json
+        Print it for scripts.
+    """
+    found = fetch_sidecar(node)
+    if as_json:
+        sys.stdout.write(f'{json.dumps(found, indent=2)}\n')
+        return 0
+    return _print_lines(sidecar_lines(found))
+
+
+@app.command(name='check-settings')
+@_reporting
+def check_settings(settings: Path) -> int:
+    """Check the settings of a node beside a target.
+
+    Parameters
+    ----------
+    settings
+        Settings file, JSON with comments, as the platform renders it.
+    """
+    load_terms(settings)
+    sys.stdout.write(f'{settings}: settings are sound\n')
+    return 0
+
+
 @app.command
 @_reporting
 def show(
--- a/marjoramlead/explanations.py
+++ b/marjoramlead/explanations.py
@@ -7,10 +7,27 @@
 __all__ = ('explain_reason',)
 
 MEANINGS: Final = {  # noqa: WPS407  # a table that nothing changes
+    Reason.BAD_ANSWER: (
+        'What came back was not the answer of the target to this request: '
+        'without its proof, of another request, or no HTTP.',
+        'Look at the target; a request that may run once is not sent again.',
+    ),
     Reason.BODY_CUT: (
         'The caller hung up before its body was whole.',
         'Nothing to do here; look at the caller.',
     ),
+    Reason.BODY_TOO_LARGE: (
+        'The body has more bytes than the limits in force allow.',
+        'Send less, or raise the limit.',
+    ),
+    Reason.CALLER_GONE: (
+        'The caller hung up before the answer.',
+        'Nothing to do here; look at the latency of the service.',
+    ),
+    Reason.COLD: (
+        'The target has just started and gets its granted rate only.',
+        'Wait until it is warm, or start fewer targets at once.',
+    ),
     Reason.CONNECT_FAILED: (
         'No connection to the target or its node could be made.',
         'See whether the target runs, and whether the host list lags.',
@@ -40,6 +57,16 @@
         'nobody can say whether it ran.',
         'Ask again after the key memory of the contract.',
     ),
+    Reason.NEVER_SEEN: (
+        'The node of the target never saw the request: a connection between '
+        'nodes had gone silent.',
+        'Look at the network between the two hosts.',
+    ),
+    Reason.NOT_READY: (
+        'The node does not know enough yet: no routing, no entry of its own '
+        'target, or news too old to deny a route.',
+        'See "marjoramlead targets" for the age of its news, and the store.',
+    ),
     Reason.NO_CONTRACT: (
         'No contract of this customer is in force on the node.',
         'See "marjoramlead status" for what is, and what was refused.',
@@ -65,6 +92,14 @@
         'The connection broke, or the answer was cut.',
         'Look at the target: it may have died.',
     ),
+    Reason.TARGET_FULL: (
+        'The target turned the request away by itself.',
+        'Look at the target: it sheds load below its slots, or others use it.',
+    ),
+    Reason.TIMEOUT: (
+        'The target did not answer within the time of the route.',
+        'Look at the target, and at the timeout of the route.',
+    ),
     Reason.UPLOAD_SLOTS: (
         'All upload slots of the target are taken.',
         'Add targets, or raise upload_slots if the targets bear more.',
--- a/marjoramlead/feed.py
+++ b/marjoramlead/feed.py
@@ -13,6 +13,7 @@
 from expression import Result
 from twisted.internet.defer import Deferred
 
+from marjoramlead.address import Address
 from marjoramlead.clock import Clock
 from marjoramlead.errors import Fault
 from marjoramlead.events import emit
@@ -20,7 +21,6 @@
 from marjoramlead.hops import FEED_PATH, decode_feed, feed_records
 from marjoramlead.limits import Wait
 from marjoramlead.upstream import (
-    Address,
     Connect,
     Outgoing,
     Pool,
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -98,8 +98,9 @@
             self.uri = path
             self.channel.handler(self)
             return
+        was_answered = self._is_answered
         self.body.whole_arrived()
-        if self._is_answered:
+        if was_answered:
             self.finish()
 
     def connectionLost(self, reason: Failure) -> None:
--- a/marjoramlead/node_client.py
+++ b/marjoramlead/node_client.py
@@ -7,12 +7,14 @@
 from typing import Final, TypedDict, cast
 
 from marjoramlead.errors import NodeError, PublishError
+from marjoramlead.generated.sidecar_status_types import SidecarStatus
 from marjoramlead.reports import DocumentText, NodeStatus, RefusedCall
 
 __all__ = (
     'Published',
     'fetch_document',
     'fetch_refusal',
+    'fetch_sidecar',
     'fetch_status',
     'publish',
     'published',
@@ -48,6 +50,25 @@
         raise NodeError(f'node {node} gave no answer: {exc}') from exc
 
 
+def fetch_sidecar(node: str) -> SidecarStatus:
+    """Read what the node beside a target believes.
+
+    Parameters
+    ----------
+    node
+        Address and port of its metrics.
+
+    Raises
+    ------
+    NodeError
+        If it does not answer.
+    """
+    try:
+        return cast(SidecarStatus, _call(f'http://{node}/status'))
+    except (OSError, ValueError) as exc:
+        raise NodeError(f'node {node} gave no answer: {exc}') from exc
+
+
 def fetch_document(node: str, name: str) -> DocumentText | None:
     """Read a document as it is in force on a node; None if it is not.
 
--- a/marjoramlead/placement.py
+++ b/marjoramlead/placement.py
@@ -22,6 +22,8 @@
     'Offer',
     'Outlook',
     'Outlooks',
+    'expected_s',
+    'failure_rate',
     'note_failure',
     'note_outcome',
     'note_report',
--- a/marjoramlead/platform/__main__.py
+++ b/marjoramlead/platform/__main__.py
@@ -20,18 +20,14 @@
 def main() -> int:
     """Run the node until it is stopped; returns the exit status."""
     reactor = install_loop()
+    from marjoramlead.lifecycle import catch_signals, start_sidecar
     from marjoramlead.platform.decoding import (  # needs the reactor
         decode_record,
     )
     from marjoramlead.platform.names import DIALECT
     from marjoramlead.platform.settings import load_terms
     from marjoramlead.platform.store import PlatformStore
-    from marjoramlead.sidecar import (
-        Outside,
-        build_sidecar,
-        catch_signals,
-        start_sidecar,
-    )
+    from marjoramlead.sidecar import Outside, build_sidecar
 
     path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
     try:
--- a/marjoramlead/platform/decoding.py
+++ b/marjoramlead/platform/decoding.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from marjoramlead.address import parse_address
 from marjoramlead.events import emit
 from marjoramlead.platform.names import (
     CONFIG_KEY,
@@ -25,10 +26,9 @@
     RoutingTable,
     ServiceTerms,
 )
-from marjoramlead.upstream import Address
 from marjoramlead.world import Decoded, Outage, Record, TargetEntry
 
-__all__ = ('decode_record', 'read_address', 'read_time')
+__all__ = ('decode_record', 'read_time')
 
 SECOND_MS: Final = 1000
 REPEATS: Final[Mapping[str, Repeat]] = {  # noqa: WPS407  # nothing changes it
@@ -85,16 +85,6 @@
     raise ValueError(f'{raw!r} has no unit')
 
 
-def read_address(raw: object) -> Address:
-    """Read an IP number and a port."""
-    if not isinstance(raw, str):
-        raise TypeError(f'{raw!r} is no address')
-    host, _colon, port = raw.rpartition(':')
-    if host.count('.') != 3:
-        raise ValueError(f'{raw!r} is no address')
-    return host, int(port)
-
-
 def _target(record: Record, now: float) -> TargetEntry:
     said = msgspec.json.decode(cast(bytes, record.body))
     if said['State'] not in STATES:
@@ -108,7 +98,7 @@
     return TargetEntry(
         target_id=record.key.removeprefix(TARGET_PREFIX),
         service=_text(said['Service']),
-        address=read_address(said['Address']),
+        address=parse_address(said['Address']),
         data_centre=_text(said['Zone']),
         slots=slots,
         is_draining=said['State'] == 'draining',
--- a/marjoramlead/platform/settings.py
+++ b/marjoramlead/platform/settings.py
@@ -5,12 +5,13 @@
 
 import msgspec
 
+from marjoramlead.address import parse_address
 from marjoramlead.errors import SettingsError
 from marjoramlead.generated.sidecar_types import SidecarSettings
 from marjoramlead.parsing import parse_object, read_text
-from marjoramlead.platform.decoding import read_address, read_time
+from marjoramlead.platform.decoding import read_time
 from marjoramlead.repeat_budget import BudgetTerms
-from marjoramlead.sidecar import SidecarTerms
+from marjoramlead.sidecar_terms import SidecarTerms
 
 __all__ = ('load_terms',)
 
@@ -50,14 +51,14 @@
         host=settings['host'],
         data_centre=settings['data_centre'],
         service=settings['service'],
-        target=read_address(settings['target']),
-        outbound=read_address(settings['outbound']),
-        inbound=read_address(settings['inbound']),
-        ready=read_address(settings['ready']),
-        control=read_address(control) if control else None,
+        target=parse_address(settings['target']),
+        outbound=parse_address(settings['outbound']),
+        inbound=parse_address(settings['inbound']),
+        ready=parse_address(settings['ready']),
+        control=parse_address(control) if control else None,
         metrics_port=settings.get('metrics_port'),
-        store=read_address(settings['store']),
-        seeds=tuple(map(read_address, settings.get('seeds', ()))),
+        store=parse_address(settings['store']),
+        seeds=tuple(map(parse_address, settings.get('seeds', ()))),
         heartbeat_s=read_time(settings['heartbeat']),
         grace_s=read_time(bounds['Grace']),
         budget=BudgetTerms(
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -8,6 +8,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from marjoramlead.address import Address
 from marjoramlead.clock import Clock
 from marjoramlead.errors import Fault
 from marjoramlead.events import emit
@@ -15,7 +16,6 @@
 from marjoramlead.limits import Wait
 from marjoramlead.metrics import Metrics
 from marjoramlead.upstream import (
-    Address,
     Connect,
     Outgoing,
     Pool,
--- a/marjoramlead/rendering.py
+++ b/marjoramlead/rendering.py
@@ -5,6 +5,7 @@
 
 from marjoramlead.explanations import explain_reason
 from marjoramlead.generated.contract_types import ContractDocument, ServiceTerms
+from marjoramlead.generated.sidecar_status_types import SidecarStatus
 from marjoramlead.porcelain import Progress
 from marjoramlead.reports import NodeStatus, TargetStatus
 from marjoramlead.verdict import Reason
@@ -13,11 +14,13 @@
     'contract_lines',
     'progress_line',
     'refusal_lines',
+    'sidecar_lines',
     'status_lines',
 )
 
 SHOWN_BEHIND = 3
 UNKNOWN_AGE_S = 1e6
+SECOND_MS = 1000
 
 
 def progress_line(progress: Progress, nodes: int) -> str:
@@ -113,3 +116,28 @@
     if seconds >= UNKNOWN_AGE_S:
         return 'never read'
     return f'read {seconds:.1f} s ago'
+
+
+def sidecar_lines(status: SidecarStatus) -> Iterator[str]:
+    """Describe a node beside a target: news, queue and targets."""
+    queue = status['queue']
+    yield f'{status["data_centre"]}/{status["host"]}  {status["service"]}'
+    yield (
+        f'  version {status["version"]:08x}  revision {status["revision"]}  '
+        f'news {status["news_age_s"]:.1f} s old  '
+        f'store failures {status["store_failures"]}'
+    )
+    yield (
+        f'  own target: {queue["running"]} of {queue["slots"]} slots, '
+        f'{queue["waiting"]} wait, cold for {queue["cold_s"]:.1f} s, '
+        f'{queue["work_s"] * SECOND_MS:.0f} ms an answer'
+    )
+    out = ', '.join(status['out']) or 'none'
+    yield f'  data centres out: {out}'
+    for target in status['targets']:
+        yield (
+            f'  {target["service"]:<16} {target["data_centre"]:<12} '
+            f'{target["target_id"]:<16} {target["state"]:<9} '
+            f'{target["expected_s"] * SECOND_MS:5.0f} ms expected, '
+            f'{target["failure_rate"]:.0%} fail'
+        )
--- a/marjoramlead/upstream.py
+++ b/marjoramlead/upstream.py
@@ -11,6 +11,7 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.protocol import Protocol
 
+from marjoramlead.address import Address
 from marjoramlead.clock import Clock
 from marjoramlead.link import (
     Accepts,
@@ -26,7 +27,6 @@
 from marjoramlead.verdict import Reason
 
 __all__ = (
-    'Address',
     'Connect',
     'Fields',
     'LinkFailure',
@@ -40,7 +40,6 @@
     'value_of',
 )
 
-Address = tuple[str, int]
 Connect = Callable[[Clock, Address, Protocol], Deferred[Protocol]]
 
 # A host on the same network accepts within milliseconds; the slowest way in
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -7,17 +7,13 @@
 from twisted.internet.task import Clock
 
 from marjoramlead.http_server import make_site
+from marjoramlead.lifecycle import start_sidecar
 from marjoramlead.platform.decoding import decode_record
 from marjoramlead.platform.names import DIALECT
 from marjoramlead.platform.store import PlatformStore
 from marjoramlead.repeat_budget import BudgetTerms
-from marjoramlead.sidecar import (
-    Outside,
-    Sidecar,
-    SidecarTerms,
-    build_sidecar,
-    start_sidecar,
-)
+from marjoramlead.sidecar import Outside, Sidecar, build_sidecar
+from marjoramlead.sidecar_terms import SidecarTerms
 from marjoramlead.upstream import Outgoing, Pool, send
 from standins.platform_store import StoreStandIn, delete, handle_store, put
 from standins.platform_target import TargetStandIn, handle_at_target
@@ -25,6 +21,7 @@
 
 STORE = ('10.200.0.1', 8309)
 OUTBOUND, INBOUND, READY, TARGET = 8304, 8300, 8302, 8301
+METRICS = 9464
 BUDGET = BudgetTerms(ratio=0.2, slack=60, window_s=10)
 
 
@@ -130,7 +127,7 @@
             inbound=(host.address, INBOUND),
             ready=(host.address, READY),
             control=None,
-            metrics_port=None,
+            metrics_port=METRICS,
             store=STORE,
             seeds=(),
             heartbeat_s=1.5,
--- a/tests/test_platform_mesh.py
+++ b/tests/test_platform_mesh.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from marjoramlead.sidecar import drain_sidecar
+from marjoramlead.lifecycle import drain_sidecar
 from standins.platform_store import put
 from tests.platform_mesh import INBOUND, STORE, TARGET, ready_mesh, route
 
@@ -214,7 +214,7 @@
     mesh = ready_mesh('web', slots=9, probe_s=0.1)
     target = mesh.hosts[0].target
     target.fault = 'reset'
-    first = [mesh.send(mesh.hosts[0], '/once/x') for _each in range(9)]
+    first = [mesh.send(mesh.hosts[0], '/once/x') for _number in range(9)]
     mesh.advance(0.11)
     target.fault = ''
     sent = [mesh.send(mesh.hosts[0], '/once/x') for _each in range(9)]
--- /dev/null
+++ b/tests/test_sidecar_status.py
@@ -0,0 +1,104 @@
+"""What operators are told by a node beside a target, and on the terminal."""
+
+import json
+
+import pytest
+
+from marjoramlead.cli import app
+from marjoramlead.rendering import sidecar_lines
+from marjoramlead.upstream import Outgoing, Pool, send
+from standins.platform_store import put
+from tests.platform_mesh import METRICS, ready_mesh
+
+SETTINGS = {
+    'host': 'h-1',
+    'data_centre': 'a',
+    'service': 'web',
+    'target': '10.0.0.1:8301',
+    'outbound': '10.0.0.1:8304',
+    'inbound': '10.0.0.1:8300',
+    'ready': '10.0.0.1:8302',
+    'metrics_port': 9464,
+    'store': '10.200.0.1:8309',
+    'seeds': [],
+    'heartbeat': '1500ms',
+    'bounds': {'Grace': '6s', 'RetryBudgetRatio': 0.2},
+}
+
+
+def ask(mesh, host, path):
+    from twisted.internet.defer import Deferred
+
+    pool = Pool(mesh.reactor, (host.address, METRICS), 0, mesh.connect)
+    outgoing = Outgoing(b'GET', path.encode(), [(b'Host', b'x')], b'')
+    told = []
+    Deferred.fromCoroutine(send(pool, outgoing)).addCallback(told.append)
+    mesh.advance(0.1)
+    return told[0].ok
+
+
+def test_status_names_states_of_targets_and_the_age_of_news():
+    mesh = ready_mesh('web', 'web', 'api')
+    mesh.publish(mesh.hosts[0], state='draining')
+    put(mesh.store, 'op/evacuate/b', {})
+    mesh.advance(1)
+    status = json.loads(ask(mesh, mesh.hosts[2], '/status').body)
+    states = {each['target_id']: each['state'] for each in status['targets']}
+    assert states == {'i-0': 'draining', 'i-1': 'out', 'i-2': 'usable'}
+    assert status['out'] == ['b']
+    assert status['news_age_s'] < 5
+    shown = '\n'.join(sidecar_lines(status))
+    assert 'data centres out: b' in shown
+    assert 'draining' in shown
+
+
+def test_refused_request_is_found_by_its_id_and_counted():
+    mesh = ready_mesh('api')
+    sent = mesh.send(mesh.hosts[0])
+    mesh.advance(0.5)
+    assert sent.status == 503
+    path = f'/refusals/{sent.request_id}'
+    told = json.loads(ask(mesh, mesh.hosts[0], path).body)
+    assert told['reason'] == 'no_target'
+    text = ask(mesh, mesh.hosts[0], '/metrics').body.decode()
+    assert 'reason="no_target",service="web"} 1.0' in text
+    assert ask(mesh, mesh.hosts[0], '/refusals/other').status == 404
+
+
+def write(folder, **changed):
+    path = folder / 'node.json'
+    document = {**SETTINGS, **changed}
+    path.write_text(f'// rendered\n{json.dumps(document)}')
+    return path
+
+
+def run(*words):
+    with pytest.raises(SystemExit) as ended:
+        app([str(word) for word in words])
+    return ended.value.code or 0
+
+
+def test_sound_settings_pass_the_check(tmp_path, capsys):
+    assert run('check-settings', write(tmp_path)) == 0
+    assert 'settings are sound' in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ('changed', 'reason'),
+    [
+        ({'target': 'here'}, 'is no address'),
+        ({'heartbeat': '1500'}, 'has no unit'),
+        ({'host': 5}, 'host'),
+        ({'bounds': []}, 'bounds'),
+        ({'seeds': ['x']}, 'is no address'),
+    ],
+)
+def test_bad_settings_are_named_with_file_and_reason(
+    tmp_path, capsys, changed, reason
+):
+    path = write(tmp_path, **changed)
+    assert run('check-settings', path) == 1
+    told = capsys.readouterr().err
+    assert str(path) in told
+    assert reason in told
+    assert len(told.splitlines()) == 1
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -16,7 +16,7 @@
 SCHEMAS = ROOT / 'marjoramlead' / 'schema'
 TARGET = ROOT / 'marjoramlead' / 'generated'
 CHECKED = ('contract', 'hosts', 'operations', 'settings')
-TYPED = (*CHECKED, 'frame', 'hop', 'sidecar')
+TYPED = (*CHECKED, 'frame', 'hop', 'sidecar', 'sidecar_status')
 
 
 def write_types(schema: Path, path: Path) -> None:
