Bodies cross between nodes only once the target has a slot for them

Larger bodies are now held back until the target's node asks for them with an interim answer. The test counts the bytes at the target's node.

--- a/marjoramlead/hop_client.py
+++ b/marjoramlead/hop_client.py
@@ -46,6 +46,9 @@
 # A node acknowledges a request as soon as it has read it; this allows for a
 # lost packet, which is sent again after 200 ms.
 RECEIPT_LIMIT_S: Final = 0.4
+# Bodies from this size on are sent only after the target has a slot for them:
+# one that is refused would have crossed the network for nothing.
+ASKED_FOR_BYTES: Final = 4096
 # Between two questions for the fate of a request.
 ASK_AGAIN_S: Final = 0.25
 # Idle connections between nodes are closed by the server after 75 s.
@@ -110,7 +113,13 @@
     """Send a job; give up without a receipt, or past its deadline."""
     now = hops.reactor.seconds()
     headers = [*job.headers, (JOB_HEADER, encode_job(job, now))]
-    outgoing = Outgoing(job.method, job.uri, headers, job.body)
+    outgoing = Outgoing(
+        job.method,
+        job.uri,
+        headers,
+        job.body,
+        is_asked_for=len(job.body) >= ASKED_FOR_BYTES,
+    )
     wait = Wait(
         hops.reactor,
         send(
--- a/marjoramlead/inbound.py
+++ b/marjoramlead/inbound.py
@@ -82,23 +82,24 @@
     req: StreamRequest,
     terms: JobTerms,
 ) -> Outcome:
-    now = gate.reactor.seconds()
-    body = b''
-    if isinstance(req.body, BodyStream):
-        collected = await collect_body(req.body)
-        if isinstance(collected, Refusal):
-            return collected
-        body = collected.content
-    job = _job_of(req, terms, now, body)
+    job = _job_of(req, terms, gate.reactor.seconds())
     req.notifyFinish().addErrback(lambda _gone: abandon(gate, job))
-    return await serve_job(gate, job)
+    return await serve_job(gate, job, lambda: _read_body(req))
+
+
+async def _read_body(req: StreamRequest) -> bytes | Refusal:
+    """Ask for the body of a request, and wait for all of it."""
+    if not isinstance(req.body, BodyStream):
+        return b''
+    req.send_continue()
+    collected = await collect_body(req.body)
+    return collected if isinstance(collected, Refusal) else collected.content
 
 
 def _job_of(
     req: StreamRequest,
     terms: JobTerms,
     now: float,
-    body: bytes,
 ) -> Job:
     headers = [
         (name, raw)
@@ -122,7 +123,7 @@
         method=req.method,
         uri=req.uri,
         headers=headers,
-        body=body,
+        body=b'',
     )
 
 
--- a/marjoramlead/link.py
+++ b/marjoramlead/link.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Final, NamedTuple, cast
 from typing import Protocol as ProtocolType
 
@@ -42,12 +43,19 @@
 
 
 class Outgoing(NamedTuple):
-    """A request to send; the body is framed by its length."""
+    """A request to send; the body is framed by its length.
+
+    Attributes
+    ----------
+    is_asked_for
+        Whether the body is held back until the other end asks for it.
+    """
 
     method: bytes
     uri: bytes
     headers: Fields
     body: bytes
+    is_asked_for: bool = False
 
 
 class Reply(NamedTuple):
@@ -149,7 +157,9 @@
         """Send a request; cancelling the result closes the connection."""
         done: Deferred[Sent] = Deferred(lambda _done: self.abort())
         self._exchange = _Exchange(outgoing, accepts, on_receipt, done)
-        self.transport.write(_write_request(self._parser, outgoing))
+        self.transport.write(_write_head(self._parser, outgoing))
+        if not outgoing.is_asked_for:
+            self.transport.write(_write_body(self._parser, outgoing))
         return done
 
     def dataReceived(self, chunk: bytes) -> None:
@@ -200,7 +210,7 @@
 
     def _on_event(self, exchange: _Exchange, event: object) -> None:
         if isinstance(event, h11.InformationalResponse):
-            exchange.on_receipt()
+            self._on_interim(exchange, event.status_code)
         elif isinstance(event, h11.Response):
             exchange.head = event
         elif isinstance(event, h11.Data):
@@ -213,6 +223,13 @@
         else:
             self._refuse(Reason.TARGET_FAILED)
 
+    def _on_interim(self, exchange: _Exchange, status: int) -> None:
+        exchange.on_receipt()
+        outgoing = exchange.outgoing
+        is_waiting = self._parser.our_state is h11.SEND_BODY
+        if status == HTTPStatus.CONTINUE and is_waiting:
+            self.transport.write(_write_body(self._parser, outgoing))
+
     def _on_end(self, exchange: _Exchange) -> None:
         head = cast(h11.Response, exchange.head)
         reply = Reply(
@@ -247,7 +264,8 @@
         exchange.head = None
         exchange.chunks = []
         self._parser = _new_parser()
-        _write_request(self._parser, exchange.outgoing)
+        _write_head(self._parser, exchange.outgoing)
+        _write_body(self._parser, exchange.outgoing)
         if trailing:  # to the parser, no bytes mean the end
             self._parser.receive_data(trailing)
 
@@ -266,8 +284,10 @@
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
 
-def _write_request(parser: h11.Connection, outgoing: Outgoing) -> bytes:
+def _write_head(parser: h11.Connection, outgoing: Outgoing) -> bytes:
     headers = list(outgoing.headers)
+    if outgoing.is_asked_for:
+        headers.append((b'Expect', b'100-continue'))
     if outgoing.body or outgoing.method in WITH_BODY:
         length = str(len(outgoing.body)).encode()
         headers.append((b'Content-Length', length))
@@ -276,7 +296,11 @@
         target=outgoing.uri,
         headers=headers,
     )
-    raw = parser.send(request) or b''
+    return parser.send(request) or b''
+
+
+def _write_body(parser: h11.Connection, outgoing: Outgoing) -> bytes:
+    raw = b''
     if outgoing.body:
-        raw += parser.send(h11.Data(data=outgoing.body)) or b''
+        raw = parser.send(h11.Data(data=outgoing.body)) or b''
     return raw + (parser.send(h11.EndOfMessage()) or b'')
--- a/marjoramlead/placement.py
+++ b/marjoramlead/placement.py
@@ -38,7 +38,7 @@
 # Handling time on the way to another host.
 OTHER_HOST_S: Final = 0.002
 # Bytes between data centres are dear: the wait that a kilobyte outweighs.
-CROSSING_S_PER_KB: Final = 0.01
+CROSSING_S_PER_KB: Final = 0.025
 # Headers both ways and an ordinary answer.
 CROSSING_KB: Final = 2.5
 # How long a host that could not be reached is left out; doubles each time.
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -1,5 +1,6 @@
 """Run one request at the local target, and judge what comes back."""
 
+from collections.abc import Callable, Coroutine
 from http import HTTPStatus
 from typing import Final
 
@@ -22,7 +23,9 @@
 )
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
-__all__ = ('abandon', 'serve_job')
+__all__ = ('ReadBody', 'abandon', 'serve_job')
+
+ReadBody = Callable[[], Coroutine[Deferred[object], object, bytes | Refusal]]
 
 SECOND_MS: Final = 1000
 # A target stops at the deadline that it was given; its word of that is
@@ -36,8 +39,27 @@
 WRONG_TARGET_STATUS: Final = HTTPStatus.MISDIRECTED_REQUEST
 
 
-def serve_job(gate: TargetGate, job: Job) -> Deferred[Outcome]:
-    """Serve one request to its end; cancelling it gives it up."""
+async def _body_of(job: Job) -> bytes:
+    return job.body
+
+
+def serve_job(
+    gate: TargetGate,
+    job: Job,
+    read_body: ReadBody | None = None,
+) -> Deferred[Outcome]:
+    """Serve one request to its end; cancelling it gives it up.
+
+    Parameters
+    ----------
+    gate
+        Of the local target.
+    job
+        What to run.
+    read_body
+        Reads the body once the target has a slot for it; the job's own body
+        is used where there is none.
+    """
     now = gate.reactor.seconds()
     attempt = attempt_id(job.request_id, job.attempt)
     refusal = begin(gate.ledger, attempt, now)
@@ -46,7 +68,9 @@
         done: Deferred[Outcome] = Deferred()
         done.callback(refusal)
         return done
-    task = Deferred.fromCoroutine(_serve(gate, job))
+    task = Deferred.fromCoroutine(
+        _serve(gate, job, read_body or (lambda: _body_of(job))),
+    )
     if not task.called:
         gate.tasks[attempt] = task
     return task
@@ -70,7 +94,11 @@
         task.cancel()
 
 
-async def _serve(gate: TargetGate, job: Job) -> Outcome:
+async def _serve(
+    gate: TargetGate,
+    job: Job,
+    read_body: ReadBody,
+) -> Outcome:
     outcome: Outcome = Refusal(Reason.CALLER_GONE, Verdict.MAY_HAVE_RUN, 0)
     began = gate.reactor.seconds()
     number = next(gate.numbers)
@@ -80,7 +108,7 @@
         refusal = refused(Reason.CALLER_GONE)
     try:
         if refusal is None:
-            outcome = await _run(gate, job, number)
+            outcome = await _run(gate, job, number, read_body)
         else:
             outcome = refusal
     finally:
@@ -100,10 +128,15 @@
     _log_end(gate, job, outcome, began)
 
 
-async def _run(gate: TargetGate, job: Job, number: int) -> Outcome:
+async def _run(
+    gate: TargetGate,
+    job: Job,
+    number: int,
+    read_body: ReadBody,
+) -> Outcome:
     began = gate.reactor.seconds()
     try:
-        outcome = await _run_from(gate, job, began)
+        outcome = await _run_once(gate, job, read_body)
     finally:
         entry = gate.queue.running[number][0]
         _leave(gate, number)
@@ -120,10 +153,19 @@
         check_target(gate)
 
 
-async def _run_from(gate: TargetGate, job: Job, began: float) -> Outcome:
-    if began >= job.deadline:
+async def _run_once(
+    gate: TargetGate,
+    job: Job,
+    read_body: ReadBody,
+) -> Outcome:
+    body = await read_body()
+    if isinstance(body, Refusal):
+        return body
+    now = gate.reactor.seconds()
+    if now >= job.deadline:
         return refused(Reason.DEADLINE)
-    return _judge(gate, job, await _send(gate, job, began))
+    whole = job._replace(body=body)
+    return _judge(gate, job, await _send(gate, whole, now))
 
 
 async def _send(gate: TargetGate, job: Job, now: float) -> Sent | None:
--- a/tests/memory_net.py
+++ b/tests/memory_net.py
@@ -1,5 +1,6 @@
 """Connections in memory under a virtual clock, which can go wrong on demand."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from twisted.internet import error
@@ -32,6 +33,7 @@
     sites: dict = field(default_factory=dict)
     links: list[Link] = field(default_factory=list)
     refusing: set[int] = field(default_factory=set)
+    received: Counter = field(default_factory=Counter)
 
     def agent(self, on_lost=None) -> Agent:
         """Return an HTTP client whose connections are in memory."""
@@ -49,6 +51,7 @@
             return fail(error.ConnectionRefusedError())
         client = factory.buildProtocol(None)
         server = self.sites[port].buildProtocol(None)
+        self._count_bytes(port, server)
         pump = connect(
             server,
             FakeTransport(server, isServer=True),
@@ -84,6 +87,15 @@
                 link.pump.serverIO.abortConnection()
         self.pump()
 
+    def _count_bytes(self, port, server) -> None:
+        take = server.dataReceived
+
+        def count_and_take(chunk):
+            self.received[port] += len(chunk)
+            return take(chunk)
+
+        server.dataReceived = count_and_take
+
 
 @implementer(IAgentEndpointFactory)
 @dataclass
--- a/tests/test_platform_mesh.py
+++ b/tests/test_platform_mesh.py
@@ -224,6 +224,24 @@
     assert len(target.arrivals) == expected
 
 
+def test_refused_upload_does_not_cross_the_network():
+    mesh = ready_mesh('web', 'api', slots=1, work_s=0.35)
+    body = b'x' * 50_000
+    mesh.send(mesh.hosts[1], '/scan/x', method=b'POST', body=body)
+    mesh.advance(1)
+    first = mesh.send(mesh.hosts[1], '/scan/x', method=b'POST', body=body)
+    mesh.advance(0.05)
+    assert mesh.hosts[0].target.running == 1
+    inbound = (mesh.hosts[0].address, INBOUND)
+    before = mesh.net.received[inbound]
+    second = mesh.send(
+        mesh.hosts[1], '/scan/x', 500, body, b'POST'
+    )  # fmt: skip
+    mesh.advance(2)
+    assert (first.status, second.status) == (200, 503)
+    assert mesh.net.received[inbound] - before < len(body)
+
+
 def test_address_of_another_target_runs_nothing():
     mesh = ready_mesh('web', 'api')
     mesh.hosts[0].target.target_id = 'i-other'
