--- a/marjoramlead/target_queue.py
+++ b/marjoramlead/target_queue.py
@@ -252,8 +252,11 @@
     room = max(0, queue.slots - taken)
     if now < queue.cold_until:
         room = min(room, int(_tokens(queue, now)))
-    wait = 0 if room else _wait_behind_all(queue, now)
-    return LoadReport(room, wait, queue.mean_work)
+    if room:
+        return LoadReport(room, 0, queue.mean_work)
+    ahead = (each[3] for each in sorted(queue.waiting))
+    start = _start_after(queue, ahead, now)
+    return LoadReport(0, max(0, start - now), queue.mean_work)
 
 
 def repeat_share(queue: TargetQueue) -> float:
@@ -328,11 +331,6 @@
     queue.stretch[entry.route] = known + SMOOTHING * (bounded - known)
 
 
-def _wait_behind_all(queue: TargetQueue, now: float) -> float:
-    ahead = (each[3] for each in sorted(queue.waiting))
-    return max(0, _start_after(queue, ahead, now) - now)
-
-
 def _start_after(
     queue: TargetQueue,
     ahead: Iterable[Entry],
--- a/tests/test_target_queue.py
+++ b/tests/test_target_queue.py
@@ -217,7 +217,8 @@
 
 
 def test_requests_that_are_overtaken_are_still_answered_within_their_aim():
-    late = answered = 0
+    late = 0
+    answered = 0
     for seed in range(4):
         ends, made_by = play_mixed(scattered(seed), 8)
         ordinary = {each: at for each, at in ends.items() if each < 10_000}
