--- /dev/null
+++ b/tests/test_day.py
@@ -0,0 +1,22 @@
+"""Reading the log lines of a day."""
+
+from bench.day import read_events, refusal_totals, way_of
+
+LINES = [
+    ' 0.1 h-1 {"kind": "gate", "host": "h-1", "request_id": "a", "at": "2"}',
+    'Traceback',
+    '{"kind": "request", "host": "h-2", "request_id": "a", "at": "3",'
+    ' "outcome": "503", "reason": "overload", "service": "web"}',
+    '{"kind": "request", "host": "h-2", "request_id": "b", "at": "1",'
+    ' "outcome": "200", "reason": "200", "service": "web"}',
+]
+
+
+def test_way_of_a_request_is_in_order_of_time():
+    way = way_of(read_events(reversed(LINES)), 'a')
+    assert [each['kind'] for each in way] == ['gate', 'request']
+
+
+def test_only_what_was_not_answered_is_counted():
+    totals = refusal_totals(read_events(LINES), 'service')
+    assert totals == {('overload', 'web'): 1}
