--- a/bench/day.py
+++ b/bench/day.py
@@ -17,6 +17,7 @@
 
 START: Final = '{"kind"'
 BAR_WIDTH: Final = 40
+SHOWN_FIRST: Final = frozenset(('kind', 'host', 'at', 'request_id'))
 Event = dict[str, Any]
 
 app = App(name='bench.day', help=__doc__)
@@ -65,11 +66,8 @@
     """
     way = way_of(read_events(log.read_text().splitlines()), request_id)
     for event in way:
-        told = ' '.join(
-            f'{name}={each}'
-            for name, each in event.items()
-            if name not in {'kind', 'host', 'at', 'request_id'}
-        )
+        fields = [name for name in event if name not in SHOWN_FIRST]
+        told = ' '.join(f'{name}={event[name]}' for name in fields)
         sys.stdout.write(
             f'{event["at"][11:23]} {event["host"]} {event["kind"]} {told}\n',
         )
