--- a/bench/day.py
+++ b/bench/day.py
@@ -17,6 +17,7 @@
 
 START: Final = '{"kind"'
 BAR_WIDTH: Final = 40
+CLOCK: Final = slice(11, 23)
 SHOWN_FIRST: Final = frozenset(('kind', 'host', 'at', 'request_id'))
 Event = dict[str, Any]
 
@@ -66,14 +67,17 @@
     """
     way = way_of(read_events(log.read_text().splitlines()), request_id)
     for event in way:
-        fields = [name for name in event if name not in SHOWN_FIRST]
-        told = ' '.join(f'{name}={event[name]}' for name in fields)
-        sys.stdout.write(
-            f'{event["at"][11:23]} {event["host"]} {event["kind"]} {told}\n',
-        )
+        sys.stdout.write(f'{_line_of(event)}\n')
     return 0 if way else 1
 
 
+def _line_of(event: Event) -> str:
+    words = [event['at'][CLOCK], event['host'], event['kind']]
+    fields = [name for name in event if name not in SHOWN_FIRST]
+    words.extend(f'{name}={event[name]}' for name in fields)
+    return ' '.join(words)
+
+
 @app.command
 def refusals(log: Path, *, by: str = 'service') -> int:
     """Count what was not answered, by reason and another field.
