--- a/marjoramlead/feed.py
+++ b/marjoramlead/feed.py
@@ -43,8 +43,10 @@
 # counts as in touch again and the two for what is new then.
 WATCH_S: Final = 4.0
 # Changes come in bursts, and each watch that ends is a call to the store: the
-# next ones are left to gather for so long.
-SETTLE_S: Final = 0.5
+# next ones are left to gather for so long. Routing has two seconds to be in
+# force; targets that come back are waited for.
+SETTLE_ROUTING_S: Final = 0.5
+SETTLE_TARGETS_S: Final = 0.15
 # A store that failed for so long may have lost entries of live targets.
 OUTAGE_S: Final = 1.0
 # Between two tries while the store does not answer: first, and at most.
@@ -144,9 +146,14 @@
         else:
             told = await feed.store.list_all()
         if told.is_ok():
+            known = feed.world.table
             _take(feed, told.ok)
+            is_routing = feed.world.table is not known
             if told.ok.records:
-                await _sleep(feed.reactor, SETTLE_S)
+                await _sleep(
+                    feed.reactor,
+                    SETTLE_ROUTING_S if is_routing else SETTLE_TARGETS_S,
+                )
         else:
             await _on_fault(feed, told.error)
 
