A node that ends breaks no request of another node

Now each answer after the gate is closed is the last on its connection, and before the node ends it refuses connections of other nodes and closes idle ones. A node that says that it drains or knows no target is left out for a moment by its senders. The test sends every 30 ms until the node is gone; it failed before.

--- a/marjoramlead/clock.py
+++ b/marjoramlead/clock.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-__all__ = ('Clock', 'Reactor', 'Timer')
+__all__ = ('Clock', 'ListeningPort', 'Reactor', 'Timer')
 
 
 class Timer(Protocol):
@@ -31,6 +31,13 @@
         """Call a function after so many seconds."""
 
 
+class ListeningPort(Protocol):
+    """A port that accepts connections."""
+
+    def stopListening(self) -> object:
+        """Accept no more; open connections stay."""
+
+
 class Reactor(Clock, Protocol):
     """A clock that also serves connections."""
 
@@ -40,7 +47,7 @@
         factory: object,
         *,
         interface: str,
-    ) -> object:
+    ) -> ListeningPort:
         """Accept connections."""
 
     def callFromThread(
--- a/marjoramlead/hop_client.py
+++ b/marjoramlead/hop_client.py
@@ -55,6 +55,11 @@
 HOP_IDLE_S: Final = 30.0
 # Seconds past its deadline that an answer on its way is waited for.
 LAST_WORD_S: Final = 0.15
+# Refusals that the next request would get, too: the host is left out for a
+# moment.
+OF_THE_HOST: Final = frozenset(
+    (Reason.DRAINING, Reason.NOT_READY, Reason.WRONG_TARGET),
+)
 # A host that could not be reached is tried again after this.
 RETRY_AFTER_S: Final = 0.2
 
@@ -147,6 +152,8 @@
     hops.on_revision(report['revision'])
     refusal = refusal_of(report)
     if refusal is not None:
+        if refusal.reason in OF_THE_HOST:
+            note_failure(outlook, hops.reactor.seconds())
         return refusal
     fields = [
         (name, raw)
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -11,6 +11,7 @@
 from typing import Final, NamedTuple, Protocol, cast
 
 from twisted.internet.interfaces import IReactorTime
+from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel, HTTPFactory, Request
 
@@ -18,7 +19,7 @@
 from marjoramlead.clock import Clock
 from marjoramlead.problems import Answer
 
-__all__ = ('Handler', 'StreamRequest', 'Transport', 'make_site')
+__all__ = ('Handler', 'StreamRequest', 'StreamSite', 'Transport', 'make_site')
 
 MAX_DROPPED_BYTES: Final = 1_000_000
 IDLE_LIMIT_S: Final = 75.0
@@ -142,6 +143,13 @@
         else:
             self.channel.transport.resumeProducing()
 
+    def answer_last(self, answer: Answer) -> None:
+        """Send a whole answer, the last one on its connection."""
+        if not self.is_gone:
+            self.channel.persistent = False
+            answer.headers.setRawHeaders(b'Connection', [b'close'])
+        self.answer(answer)
+
     def abort(self) -> None:
         """Hang up, so that the caller sees that its answer is cut."""
         if not self.is_gone:
@@ -160,8 +168,19 @@
 class _StreamChannel(HTTPChannel):
     requestFactory = StreamRequest  # type: ignore[assignment]  # noqa: WPS115  # overrides
     handler: Handler
+    site: 'StreamSite'
     transport: Transport  # type: ignore[assignment]  # what TCP has
 
+    def connectionMade(self) -> None:
+        """Note that the connection is open."""
+        super().connectionMade()
+        self.site.channels.add(self)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Note that the connection has ended."""
+        self.site.channels.discard(self)
+        super().connectionLost(reason)
+
     def read_start(self) -> _Start:
         """Read the start of a request whose body is still to come."""
         return _Start(
@@ -174,24 +193,34 @@
         """Leave it to the handler: see ``send_continue``."""
 
 
-def make_site(handler: Handler, reactor: Clock) -> HTTPFactory:
+def make_site(handler: Handler, reactor: Clock) -> 'StreamSite':
     """Build a server that gives each request to one handler."""
-    return _StreamSite(handler, reactor)
+    return StreamSite(handler, reactor)
 
 
-class _StreamSite(HTTPFactory):
+class StreamSite(HTTPFactory):
+    """A server that knows its connections."""
+
     def __init__(self, handler: Handler, reactor: Clock) -> None:
         super().__init__(
             timeout=IDLE_LIMIT_S,
             reactor=cast(IReactorTime, reactor),
         )
         self._handler = handler
+        self.channels: set[_StreamChannel] = set()
         self.protocol = self._build_channel  # type: ignore[method-assign, assignment]
 
     def log(self, request: Request) -> None:
         """Skip the access log; calls are counted instead."""
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request is being served."""
+        for channel in list(self.channels):
+            if not channel.requests:
+                channel.loseConnection()
+
     def _build_channel(self) -> _StreamChannel:
         channel = _StreamChannel()
         channel.handler = self._handler
+        channel.site = self
         return channel
--- a/marjoramlead/inbound.py
+++ b/marjoramlead/inbound.py
@@ -29,6 +29,7 @@
 from marjoramlead.http_server import StreamRequest
 from marjoramlead.ledger import Outcome, ask
 from marjoramlead.problems import Answer
+from marjoramlead.replies import answer_of
 from marjoramlead.target_gate import TargetGate
 from marjoramlead.target_queue import load_report
 from marjoramlead.target_runs import abandon, serve_job
@@ -164,17 +165,15 @@
     refusal = outcome if isinstance(outcome, Refusal) else None
     load = load_report(gate.queue, now)
     report = encode_report(load, refusal, gate.world.revision)
-    fields = Headers()
-    status: int = HTTPStatus.OK
-    body = b''
     if isinstance(outcome, Reply):
-        status = outcome.status
-        body = outcome.body
-        for name, raw in outcome.headers:
-            if name.lower() not in HOP_BY_HOP:
-                fields.addRawHeader(name, raw)
-    fields.setRawHeaders(REPORT_HEADER, [report])
-    req.answer(Answer(status, fields, body))
+        answer = answer_of(outcome)
+    else:
+        answer = Answer(HTTPStatus.OK, Headers(), b'')
+    answer.headers.setRawHeaders(REPORT_HEADER, [report])
+    if gate.is_draining:
+        req.answer_last(answer)
+    else:
+        req.answer(answer)
 
 
 def _on_failure(
--- a/marjoramlead/ingress.py
+++ b/marjoramlead/ingress.py
@@ -19,6 +19,7 @@
 from marjoramlead.problems import Answer
 from marjoramlead.refusals import RecentRefusals, note_refused
 from marjoramlead.repeat_budget import note_request
+from marjoramlead.replies import answer_of
 from marjoramlead.routes import Route, SplitState, choose_part, find_route
 from marjoramlead.target_queue import repeat_share
 from marjoramlead.upstream import Fields, Reply
@@ -241,7 +242,7 @@
 ) -> None:
     ingress.in_flight -= 1
     if isinstance(outcome, Reply):
-        answer = _answer_of(outcome)
+        answer = answer_of(outcome)
         _note_end(ingress, arrival, 'answered', str(outcome.status))
     else:
         answer = _refusal_answer(ingress, arrival, outcome)
@@ -253,20 +254,10 @@
             outcome.reason.value,
             outcome.retry_after,
         )
-    if req.is_gone:
-        return
-    if ingress.stop is not None:
-        req.channel.persistent = False
-        answer.headers.setRawHeaders(b'Connection', [b'close'])
-    req.answer(answer)
-
-
-def _answer_of(reply: Reply) -> Answer:
-    fields = Headers()
-    for name, raw in reply.headers:
-        if name.lower() not in HOP_BY_HOP:
-            fields.addRawHeader(name, raw)
-    return Answer(reply.status, fields, reply.body)
+    if ingress.stop is None:
+        req.answer(answer)
+    else:
+        req.answer_last(answer)
 
 
 def _refusal_answer(
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -43,6 +43,9 @@
 # Other nodes may use the target for so long after that; what they send ends
 # before the clients of this host are gone.
 GATE_OPEN_S: Final = 1.5
+# Later, other nodes cannot connect any more and their idle connections are
+# closed: what they would send then is refused before it is on its way.
+INBOUND_OPEN_S: Final = 2.3
 # What is left of the time to stop when the node goes in any case; the process
 # takes a part of a second to end.
 STOP_SPARE_S: Final = 0.8
@@ -52,7 +55,7 @@
     """Listen, and begin to follow the store."""
     terms = sidecar.terms
     _listen(sidecar, terms.outbound, lambda req: _on_client(sidecar, req))
-    _listen(sidecar, terms.inbound, lambda req: handle_node(sidecar.gate, req))
+    _listen_inbound(sidecar)
     _listen(sidecar, terms.ready, lambda req: _answer_ready(sidecar, req))
     if terms.control is not None:
         _listen(
@@ -77,6 +80,22 @@
     sidecar.reactor.listenTCP(address[1], site, interface=address[0])
 
 
+def _listen_inbound(sidecar: Sidecar) -> None:
+    host, number = sidecar.terms.inbound
+    site = make_site(
+        lambda req: handle_node(sidecar.gate, req),
+        sidecar.reactor,
+    )
+    port = sidecar.reactor.listenTCP(number, site, interface=host)
+
+    def close() -> None:
+        """Refuse new connections, so that none breaks when the node ends."""
+        port.stopListening()
+        site.close_idle()
+
+    sidecar.close_inbound = close
+
+
 def _on_client(sidecar: Sidecar, req: StreamRequest) -> None:
     handle_request(sidecar.ingress, req)
 
@@ -198,6 +217,7 @@
     stop = Stop(now + NOTICE_S, now + sidecar.terms.grace_s - STOP_SPARE_S)
     sidecar.ingress.stop = stop
     sidecar.reactor.callLater(GATE_OPEN_S, start_gate_drain, sidecar.gate)
+    sidecar.reactor.callLater(INBOUND_OPEN_S, sidecar.close_inbound)
     emit('drain', in_flight=sidecar.ingress.in_flight)
 
 
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -57,12 +57,18 @@
     connect: Connect = connect_tcp
 
 
+def _nothing_to_close() -> None:
+    """Do nothing: the node has not started."""
+
+
 @dataclass(slots=True)
 class Sidecar:
     """The parts of one node.
 
     Attributes
     ----------
+    close_inbound
+        Closes the port for other nodes, once the node has started.
     loops
         What runs from time to time.
     """
@@ -78,6 +84,7 @@
     outside: Outside
     next_probe_at: float = 0
     next_reload_at: float = 0
+    close_inbound: Callable[[], None] = _nothing_to_close
     loops: list[LoopingCall] = field(default_factory=list)
 
 
--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -143,7 +143,7 @@
     timer = gate.reactor.callLater(left, _start_waiting_now, gate)
     try:
         return await starter
-    except CancelledError:
+    except (CancelledError, GeneratorExit):
         if not forget(gate.queue, entry.number):
             leave(gate, entry.number)
         raise
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -36,12 +36,25 @@
     def listenTCP(self, port, factory, interface):
         """Accept connections at one address."""
         self.net.sites[interface, port] = factory
+        return MemoryPort(self.net, (interface, port))
 
     def stop(self) -> None:
         """Count that a node has ended."""
         self.stopped += 1
 
 
+@dataclass
+class MemoryPort:
+    """A port that accepts connections in memory."""
+
+    net: MemoryNet
+    address: tuple[str, int]
+
+    def stopListening(self) -> None:
+        """Refuse new connections."""
+        self.net.sites.pop(self.address, None)
+
+
 @dataclass
 class Exchange:
     """A client's request and what became of it."""
--- a/tests/test_platform_mesh.py
+++ b/tests/test_platform_mesh.py
@@ -187,6 +187,19 @@
     assert mesh.reactor.stopped
 
 
+def test_no_request_of_another_node_breaks_when_a_node_ends():
+    mesh = ready_mesh('web', 'web')
+    drain_sidecar(mesh.hosts[0].sidecar)
+    sent = []
+    while not mesh.reactor.stopped:
+        sent.append(mesh.send(mesh.hosts[1], '/once/x', method=b'POST'))
+        mesh.advance(0.03)
+    ports = [link.port for link in mesh.net.links]
+    assert (mesh.hosts[0].address, INBOUND) not in ports
+    mesh.advance(1)
+    assert {each.status for each in sent} == {200}
+
+
 def test_node_that_stops_takes_nothing_that_it_could_not_end():
     mesh = ready_mesh('web', 'web')
     drain_sidecar(mesh.hosts[0].sidecar)
