--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -41,7 +41,7 @@
 # Targets that a request may be offered to in all; each offer takes about a
 # millisecond, and after this many the service is full.
 MAX_OFFERS: Final = 8
-# Refusals that are not told apart from a full target: come back this soon.
+# Where no target has said when there is room, callers come back after this.
 RETRY_AFTER_S: Final = 0.2
 # A repeat with less time than this cannot be answered any more.
 LEAST_LEFT_S: Final = 0.02
@@ -104,12 +104,19 @@
     runs
         Targets that may have run it.
     offers
-        Targets' nodes that it was sent to.
+        Offers made so far.
+    asked
+        Ids of targets that were offered the request.
+    failed
+        Ids of targets that are not offered it again.
     best
         The last answer of a target that was worth another attempt.
+    doubt
+        The last refusal after which the request may have run.
+    retry_after
+        Seconds after which targets' nodes expect to have room.
     """
 
-    began: float
     has_arrived: bool = False
     runs: int = 0
     offers: int = 0
@@ -123,14 +130,15 @@
 
 async def dispatch(dispatcher: Dispatcher, request: Request) -> Outcome:
     """Send a request until it has an answer or a final refusal."""
-    attempts = _Attempts(dispatcher.reactor.seconds())
+    attempts = _Attempts()
     while True:  # noqa: WPS457  # ends with the offers or the deadline
         target = _next_target(dispatcher, request, attempts)
         if target is None:
-            return _final(request, attempts)
+            return _final(attempts)
         outcome = await _offer(dispatcher, request, attempts, target)
         if _is_final(dispatcher, request, attempts, target, outcome):
-            return _settled(request, attempts, outcome)
+            is_answer = isinstance(outcome, Reply)
+            return outcome if is_answer else _final(attempts)
 
 
 def _next_target(
@@ -252,7 +260,7 @@
     target: TargetEntry,
     outcome: Outcome,
 ) -> bool:
-    """Note what an offer came to; whether it ends the request."""
+    """Note what an offer came to, and say whether it ends the request."""
     _note_outcome(dispatcher, target, outcome)
     if isinstance(outcome, Reply):
         attempts.best = outcome
@@ -310,17 +318,7 @@
     return take_repeat(dispatcher.budget, request.service, now)
 
 
-def _settled(
-    request: Request,
-    attempts: _Attempts,
-    outcome: Outcome,
-) -> Outcome:
-    if isinstance(outcome, Reply):
-        return outcome
-    return _final(request, attempts)
-
-
-def _final(request: Request, attempts: _Attempts) -> Outcome:
+def _final(attempts: _Attempts) -> Outcome:
     """Choose the answer once no further offer is made."""
     if attempts.best is not None:
         return attempts.best
--- a/marjoramlead/hop_client.py
+++ b/marjoramlead/hop_client.py
@@ -60,8 +60,6 @@
 OF_THE_HOST: Final = frozenset(
     (Reason.DRAINING, Reason.NOT_READY, Reason.WRONG_TARGET),
 )
-# A host that could not be reached is tried again after this.
-RETRY_AFTER_S: Final = 0.2
 
 
 @dataclass(slots=True)
@@ -100,7 +98,7 @@
             hops.outlooks.of(job.target_id),
             hops.reactor.seconds(),
         )
-        return Refusal(Reason.CONNECT_FAILED, Verdict.NOT_RUN, RETRY_AFTER_S)
+        return Refusal(Reason.CONNECT_FAILED, Verdict.NOT_RUN, 0)
     emit(
         'hop_lost',
         request_id=job.request_id,
--- a/marjoramlead/parsing.py
+++ b/marjoramlead/parsing.py
@@ -6,9 +6,23 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from marjoramlead.errors import Fault
+from marjoramlead.errors import Fault, SettingsError
 
-__all__ = ('parse_object', 'read_text')
+__all__ = ('load_object', 'parse_object', 'read_text')
+
+
+def load_object(path: Path) -> dict[str, object]:
+    """Read a settings file.
+
+    Raises
+    ------
+    SettingsError
+        Names the file and the reason.
+    """
+    parsed = read_text(path).bind(parse_object)
+    if parsed.is_error():
+        raise SettingsError(f'{path}: {parsed.error}')
+    return parsed.ok
 
 
 def read_text(path: Path) -> Result[str, Fault]:
--- a/marjoramlead/platform/settings.py
+++ b/marjoramlead/platform/settings.py
@@ -8,7 +8,7 @@
 from marjoramlead.address import parse_address
 from marjoramlead.errors import SettingsError
 from marjoramlead.generated.sidecar_types import SidecarSettings
-from marjoramlead.parsing import parse_object, read_text
+from marjoramlead.parsing import load_object
 from marjoramlead.platform.decoding import read_time
 from marjoramlead.repeat_budget import BudgetTerms
 from marjoramlead.sidecar_terms import SidecarTerms
@@ -32,14 +32,9 @@
     SettingsError
         Names the file, the path within it and the reason.
     """
-    text = read_text(path)
-    if text.is_error():
-        raise SettingsError(f'{path}: {text.error}')
-    parsed = parse_object(text.ok)
-    if parsed.is_error():
-        raise SettingsError(f'{path}: {parsed.error}')
+    parsed = load_object(path)
     try:
-        return _terms(msgspec.convert(parsed.ok, SidecarSettings))
+        return _terms(msgspec.convert(parsed, SidecarSettings))
     except (msgspec.ValidationError, TypeError, ValueError) as exc:
         raise SettingsError(f'{path}: {exc}') from exc
 
--- a/marjoramlead/settings.py
+++ b/marjoramlead/settings.py
@@ -9,7 +9,7 @@
 from marjoramlead.errors import Fault, SettingsError
 from marjoramlead.generated import settings_validator
 from marjoramlead.generated.settings_types import SettingsDocument
-from marjoramlead.parsing import parse_object, read_text
+from marjoramlead.parsing import load_object
 
 __all__ = ('load_settings',)
 
@@ -22,10 +22,7 @@
     SettingsError
         Names the file, the path within it and the reason.
     """
-    text = read_text(path)
-    if text.is_error():
-        raise SettingsError(f'{path}: {text.error}')
-    settings = parse_object(text.ok).bind(_check)
+    settings = _check(load_object(path))
     if settings.is_error():
         raise SettingsError(f'{path}: {settings.error}')
     return settings.ok
--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass, field
 from itertools import count
-from typing import Final
 
 from twisted.internet.defer import CancelledError, Deferred
 
@@ -22,9 +21,7 @@
     offer,
     start_ready,
 )
-from marjoramlead.upstream import (
-    Pool,
-)
+from marjoramlead.upstream import Pool
 from marjoramlead.verdict import Reason, Refusal, Verdict
 from marjoramlead.world import TargetEntry, World
 
@@ -40,8 +37,6 @@
     'terms_of',
 )
 
-SECOND_MS: Final = 1000
-
 
 @dataclass(slots=True)
 class TargetGate:
@@ -55,8 +50,14 @@
         What to fire when a waiting request may run, by its number.
     tasks
         What serves each attempt at present, by its id.
+    entry
+        What the target has published, if it is known.
     suspected
         Whether the target may have restarted unseen since its last answer.
+    probed_at
+        When a probe was last sent.
+    waker
+        Runs when a cold target may get the next request.
     """
 
     address: tuple[str, int]
