--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -35,7 +35,7 @@
 
 
 def test_repeats_of_callers_and_their_calls_together_keep_to_the_budget():
-    """Calls are repeated first, then their callers; nothing refuses the latter."""
+    """Calls are repeated first, then their callers, whose calls come on top."""
     caller_node = RepeatBudget(TERMS, lambda: 2)
     client_node = RepeatBudget(TERMS, lambda: 2)
     repeats = 0
