--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -56,3 +56,15 @@
             note_request(caller_node, 'called', now, repeat_share=1)
             repeats += 1  # the call that the repeated run makes again
     assert repeats <= 0.2 * requests + 60
+
+
+def taken_after(charged):
+    """Count the repeats left after a hundred requests, some of them charged."""
+    budget = RepeatBudget(TERMS, lambda: 4)
+    for number in range(100):
+        note_request(budget, 'web', 1.0, repeat_share=number < charged)
+    return sum(take_repeat(budget, 'web', 1.0) for _each in range(100))
+
+
+def test_calls_of_repeated_runs_leave_less_to_take():
+    assert taken_after(charged=0) - taken_after(charged=5) == 5
