--- a/marjoramlead/node_client.py
+++ b/marjoramlead/node_client.py
@@ -44,10 +44,7 @@
     NodeError
         If it does not answer.
     """
-    try:
-        return cast(NodeStatus, _call(f'http://{node}/status'))
-    except (OSError, ValueError) as exc:
-        raise NodeError(f'node {node} gave no answer: {exc}') from exc
+    return cast(NodeStatus, _read_status(node))
 
 
 def fetch_sidecar(node: str) -> SidecarStatus:
@@ -63,10 +60,7 @@
     NodeError
         If it does not answer.
     """
-    try:
-        return cast(SidecarStatus, _call(f'http://{node}/status'))
-    except (OSError, ValueError) as exc:
-        raise NodeError(f'node {node} gave no answer: {exc}') from exc
+    return cast(SidecarStatus, _read_status(node))
 
 
 def fetch_document(node: str, name: str) -> DocumentText | None:
@@ -143,6 +137,13 @@
     return int(cast(Published, answer)['revision'])
 
 
+def _read_status(node: str) -> object:
+    try:
+        return _call(f'http://{node}/status')
+    except (OSError, ValueError) as exc:
+        raise NodeError(f'node {node} gave no answer: {exc}') from exc
+
+
 def _find(node: str, path: str) -> object:
     try:
         return _call(f'http://{node}/{path}')
