Dispatch: targets known to be full are asked for a wait at once

Change: a target whose report of the last 100 ms leaves no room is asked for a wait directly. The new test failed on the code before.

--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -20,6 +20,7 @@
 from marjoramlead.placement import (
     Offer,
     Outlooks,
+    expects_room,
     note_outcome,
     note_report,
     note_sent,
@@ -174,8 +175,11 @@
     attempts: _Attempts,
     target: TargetEntry,
 ) -> Outcome:
-    may_wait = target.target_id in attempts.asked or (
-        len(attempts.asked) >= IMMEDIATE_OFFERS
+    outlook = dispatcher.outlooks.of(target.target_id)
+    may_wait = (
+        target.target_id in attempts.asked
+        or len(attempts.asked) >= IMMEDIATE_OFFERS
+        or not expects_room(outlook, dispatcher.reactor.seconds())
     )
     attempts.asked.add(target.target_id)
     if may_wait:
@@ -188,7 +192,6 @@
         attempts,
         may_wait=may_wait,
     )
-    outlook = dispatcher.outlooks.of(target.target_id)
     note_sent(outlook)
     own = dispatcher.gate.entry
     if own is not None and own.target_id == target.target_id:
--- a/marjoramlead/placement.py
+++ b/marjoramlead/placement.py
@@ -23,6 +23,7 @@
     'Outlook',
     'Outlooks',
     'expected_s',
+    'expects_room',
     'failure_rate',
     'note_failure',
     'note_outcome',
@@ -35,6 +36,9 @@
 UNKNOWN_WORK_S: Final = 0.1
 # A report is believed in full at first and for nothing after this time.
 REPORT_LIFE_S: Final = 1.0
+# A report that a target is full is taken for true for so long: about the time
+# in which one of its slots is free again.
+ROOM_KNOWN_S: Final = 0.1
 # Handling time on the way to another host.
 OTHER_HOST_S: Final = 0.002
 # Bytes between data centres are dear: the wait that a kilobyte outweighs.
@@ -153,6 +157,14 @@
     return work + trust * (report.wait_s + queued) + penalty
 
 
+def expects_room(outlook: Outlook, now: float) -> bool:
+    """Say whether a target may have a slot free for one more request."""
+    report = outlook.report
+    if report is None or now - outlook.reported_at > ROOM_KNOWN_S:
+        return True
+    return report.room > outlook.sent_since
+
+
 def note_report(outlook: Outlook, report: LoadReport, now: float) -> None:
     """Take in what a target's node reports."""
     outlook.report = report
--- a/marjoramlead/queue_outlook.py
+++ b/marjoramlead/queue_outlook.py
@@ -155,8 +155,9 @@
     """Expect a wait: the work ahead, and what will overtake meanwhile."""
     order = order_of(queue, now)
     own = order(entry)
-    ahead = [each for each in queue.waiting.values() if order(each) < own]
-    ahead.sort(key=order)
+    keyed = [(order(each), each) for each in queue.waiting.values()]
+    keyed = sorted(each for each in keyed if each[0] < own)
+    ahead = [each[1] for each in keyed]
     start = _start_after(queue, ahead, now)
     busy = busy_above(queue.forecast, own[0], queue.slots, now)
     return (start - now) / (1 - min(busy, MAX_BUSY))
--- a/marjoramlead/target_queue.py
+++ b/marjoramlead/target_queue.py
@@ -137,9 +137,14 @@
 
 def _take_hopeless(queue: TargetQueue, now: float) -> Dropped:
     """Take out what is late and expected to end too late, the last first."""
-    waiting = sorted(queue.waiting.values(), key=order_of(queue, now))
+    late = [
+        entry
+        for entry in queue.waiting.values()
+        if now >= entry.deadline or rank_of(queue, entry, now)[0]
+    ]
+    late.sort(key=order_of(queue, now), reverse=True)
     dropped: Dropped = []
-    for entry in reversed(waiting):
+    for entry in late:
         refusal = _late_refusal(queue, entry, now)
         if refusal is not None:
             queue.waiting.pop(entry.number)
@@ -154,8 +159,7 @@
 ) -> Refusal | None:
     if now >= entry.deadline:
         return Refusal(Reason.DEADLINE, Verdict.NOT_RUN, 0)
-    is_late, _priority = rank_of(queue, entry, now)
-    return forecast_refusal(queue, entry, now) if is_late else None
+    return forecast_refusal(queue, entry, now)
 
 
 def _start(queue: TargetQueue, entry: Entry, now: float) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,6 +5,7 @@
 from marjoramlead.placement import (
     Offer,
     Outlooks,
+    expects_room,
     note_failure,
     note_outcome,
     note_report,
@@ -65,6 +66,19 @@
     assert ranked(outlooks, both)[0] == 't2'
 
 
+def test_full_target_is_expected_to_have_room_again():
+    outlooks = Outlooks(Random(1))
+    known = outlooks.of('t1')
+    assert expects_room(known, 1.0)
+    note_report(known, LoadReport(0, 0.1, 0.2), 1.0)
+    assert not expects_room(known, 1.05)
+    assert expects_room(known, 1.2)
+    note_report(known, LoadReport(1, 0, 0.2), 2.0)
+    assert expects_room(known, 2.0)
+    note_sent(known)
+    assert not expects_room(known, 2.0)
+
+
 def test_senders_spread_what_they_send_between_reports():
     outlooks = Outlooks(Random(1))
     targets = [target(f't{number}') for number in range(1, 5)]
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -18,7 +18,14 @@
 TESTS_FAILED = 1
 LIMIT_S = 60
 NOTICED = ('caught', 'hung')
-PARTS = ('marjoramlead', 'standins', 'tests', 'examples', 'pyproject.toml')
+PARTS = (
+    'marjoramlead',
+    'standins',
+    'bench',
+    'tests',
+    'examples',
+    'pyproject.toml',
+)
 
 
 class Mutant(TypedDict):
