Names: the field's terms for what guards requests, claims keys and reads bodies

guarding -> guard_requests, claiming -> key_claims, collecting -> body_reader, keepers -> key_replicas, warmth -> slow_start, bench.variant -> bench.propagation. No behaviour changes.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 
 search: $(VENV)/ready
 	mkdir -p found
-	HYPOTHESIS_PROFILE=search $(BIN)/python -m pytest tests/test_agent.py tests/test_keepers.py tests/test_mesh.py
+	HYPOTHESIS_PROFILE=search $(BIN)/python -m pytest tests/test_agent.py tests/test_key_replicas.py tests/test_mesh.py
 
 $(VENV)/ready: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -227,7 +227,7 @@
     Parameters
     ----------
     ways
-        Of passing versions on; see ``bench/variant.py``.
+        Of passing versions on; see ``bench/propagation.py``.
     nodes
         Fleet sizes, multiples of 4.
     frozen
--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -64,7 +64,7 @@
         path = fleet.folder / f'{member.host}.json'
         settings = node_settings(fleet, member)
         path.write_text(json.dumps(settings | {'log_level': 'warning'}))
-        argv = ['-m', 'bench.variant', f'--way={way}', f'--settings={path}']
+        argv = ['-m', 'bench.propagation', f'--way={way}', f'--settings={path}']
         start(fleet, f'node-{member.host}', argv)
 
 
--- a/bench/variant.py
+++ b/bench/propagation.py
@@ -29,7 +29,7 @@
 
 polled_at: dict[str, float] = {}
 
-app = App(name='variant')
+app = App(name='propagation')
 
 
 def no_peer(_view: PeerView, _others: Sequence[str], _rng: Random) -> None:
--- a/marjoramlead/admission.py
+++ b/marjoramlead/admission.py
@@ -68,7 +68,7 @@
     """
 
     terms: ServiceTerms
-    warmth: SlowStart = field(default_factory=SlowStart)
+    slow_start: SlowStart = field(default_factory=SlowStart)
     running: dict[int, tuple[Entry, float]] = field(default_factory=dict)
     waiting: deque[Entry] = field(default_factory=deque)
     service_s: float = FIRST_SERVICE_S
@@ -116,7 +116,7 @@
     """Learn from a whole and sound answer to a running request."""
     _entry, began = state.running[number]
     state.service_s += SMOOTHING * (now - began - state.service_s)
-    on_answer(state.warmth, state.terms)
+    on_answer(state.slow_start, state.terms)
 
 
 def note_silence(state: Admission, number: int, now: float) -> bool:
@@ -129,7 +129,7 @@
     _entry, began = state.running[number]
     is_distress = now - began > DISTRESS_FACTOR * state.service_s
     if is_distress:
-        on_failure(state.warmth)
+        on_failure(state.slow_start)
     return is_distress
 
 
@@ -149,7 +149,7 @@
 
 def note_distress(state: Admission) -> None:
     """Give the target less after a failure that shows distress."""
-    on_failure(state.warmth)
+    on_failure(state.slow_start)
 
 
 def start_drain(state: Admission) -> list[Entry]:
@@ -191,7 +191,7 @@
 
 
 def _has_room(state: Admission, kind: Kind) -> bool:
-    window = window_of(state.warmth, state.terms)
+    window = window_of(state.slow_start, state.terms)
     if len(state.running) >= window:
         return False
     if kind == 'internal':
@@ -230,7 +230,7 @@
     return (
         (ahead + 1)
         * state.service_s
-        / max(1, window_of(state.warmth, state.terms))
+        / max(1, window_of(state.slow_start, state.terms))
     )
 
 
--- a/marjoramlead/attempts.py
+++ b/marjoramlead/attempts.py
@@ -7,8 +7,8 @@
 
 from marjoramlead import headers as names
 from marjoramlead.bodies import BodyStream, RequestBody
+from marjoramlead.body_reader import collect_body
 from marjoramlead.calls import Call, after_refusal, next_target
-from marjoramlead.collecting import collect_body
 from marjoramlead.gateway import Gateway, Served, split_uri
 from marjoramlead.http_client import Outgoing, Response, drop_body, send_request
 from marjoramlead.http_server import StreamRequest
--- a/marjoramlead/daemon.py
+++ b/marjoramlead/daemon.py
@@ -19,10 +19,10 @@
 from marjoramlead.gateway import Gateway, handle_call
 from marjoramlead.generated.settings_types import SettingsDocument
 from marjoramlead.guard import Guard, drain_guard
-from marjoramlead.guarding import handle_work
+from marjoramlead.guard_requests import handle_work
 from marjoramlead.http_client import make_agent
 from marjoramlead.http_server import Handler, StreamRequest, make_site
-from marjoramlead.keepers import KeyLedger
+from marjoramlead.key_replicas import KeyLedger
 from marjoramlead.load_watch import (
     LoadWatch,
     start_load_watch,
--- a/marjoramlead/explanations.py
+++ b/marjoramlead/explanations.py
@@ -53,7 +53,7 @@
         'Spread the callers over more nodes.',
     ),
     Reason.KEY_UNKNOWN: (
-        'Two of the three keepers of the key are down or started of late, so '
+        'Two of the three replicas of the key are down or started of late, so '
         'nobody can say whether it ran.',
         'Ask again after the key memory of the contract.',
     ),
--- a/marjoramlead/guard.py
+++ b/marjoramlead/guard.py
@@ -21,7 +21,7 @@
 from marjoramlead.counters import Counters
 from marjoramlead.generated.contract_types import ServiceTerms
 from marjoramlead.generated.settings_types import TargetSettings
-from marjoramlead.keepers import KeyLedger, follow_hosts
+from marjoramlead.key_replicas import KeyLedger, follow_hosts
 from marjoramlead.snapshot import Kind, Snapshot, Target
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
--- a/marjoramlead/guarding.py
+++ b/marjoramlead/guard_requests.py
@@ -13,12 +13,6 @@
     note_distress,
     note_silence,
 )
-from marjoramlead.claiming import (
-    KeyClaim,
-    answer_claim,
-    claim_key,
-    give_up_key,
-)
 from marjoramlead.guard import (
     Guard,
     enter,
@@ -29,6 +23,12 @@
 )
 from marjoramlead.http_client import Outgoing, drop_body, send_request
 from marjoramlead.http_server import StreamRequest
+from marjoramlead.key_claims import (
+    KeyClaim,
+    answer_claim,
+    claim_key,
+    give_up_key,
+)
 from marjoramlead.logs import guard_log
 from marjoramlead.problems import Answer, read_refusal, refusal_answer
 from marjoramlead.relay import (
--- a/marjoramlead/inbound.py
+++ b/marjoramlead/inbound.py
@@ -9,7 +9,7 @@
 from twisted.web.http_headers import Headers
 
 from marjoramlead.bodies import BodyStream
-from marjoramlead.collecting import collect_body
+from marjoramlead.body_reader import collect_body
 from marjoramlead.events import emit
 from marjoramlead.generated.hop_types import JobTerms
 from marjoramlead.headers import HOP_BY_HOP
--- a/marjoramlead/ingress.py
+++ b/marjoramlead/ingress.py
@@ -9,7 +9,7 @@
 from twisted.web.http_headers import Headers
 
 from marjoramlead.bodies import BodyStream
-from marjoramlead.collecting import collect_body
+from marjoramlead.body_reader import collect_body
 from marjoramlead.dialect import Dialect
 from marjoramlead.dispatch import Dispatcher, Request, dispatch
 from marjoramlead.events import emit
--- a/marjoramlead/claiming.py
+++ b/marjoramlead/key_claims.py
@@ -1,4 +1,4 @@
-"""Claim an idempotency key at its keepers before a request runs under it."""
+"""Claim an idempotency key at its replicas before a request runs under it."""
 
 from collections.abc import Sequence
 from typing import Final, NamedTuple
@@ -10,11 +10,11 @@
 from marjoramlead.guard import Guard, follow_service, service_hosts
 from marjoramlead.http_client import Outgoing, drop_body, send_request
 from marjoramlead.http_server import StreamRequest
-from marjoramlead.keepers import (
+from marjoramlead.key_replicas import (
     Tally,
     Vote,
-    keepers_of,
     release_key,
+    replicas_of,
     tally,
     vote,
 )
@@ -51,24 +51,24 @@
 
 
 async def claim_key(guard: Guard, claim: KeyClaim) -> Refusal | None:
-    """Get a key granted by a majority of its keepers.
+    """Get a key granted by a majority of its replicas.
 
     Returns
     -------
     None if the request may run; else why not, with the key set free.
     """
-    keepers = _keepers(guard, claim.key)
+    replicas = _replicas(guard, claim.key)
     decided: Deferred[Tally] = Deferred()
     votes: list[Vote | None] = []
 
     def count(cast: Vote | None) -> None:
         votes.append(cast)
-        outcome = tally(votes, len(keepers))
+        outcome = tally(votes, len(replicas))
         if outcome is not Tally.OPEN and not decided.called:
             decided.callback(outcome)
 
-    for keeper in keepers:
-        asked = Deferred.fromCoroutine(_ask(guard, keeper, claim))
+    for replica in replicas:
+        asked = Deferred.fromCoroutine(_ask(guard, replica, claim))
         asked.addErrback(lambda _failure: None)
         asked.addCallback(count)
     outcome = await decided
@@ -80,35 +80,35 @@
 
 def give_up_key(guard: Guard, claim: KeyClaim) -> None:
     """Set a key free whose request has not run and never will."""
-    for keeper in _keepers(guard, claim.key):
-        if keeper.host == guard.host:
+    for replica in _replicas(guard, claim.key):
+        if replica.host == guard.host:
             release_key(guard.ledger, claim.key, claim.holder)
         else:
             fields = _headers(claim)
             fields.setRawHeaders(names.RELEASE, [b'1'])
-            sent = Deferred.fromCoroutine(_send(guard, keeper, fields))
+            sent = Deferred.fromCoroutine(_send(guard, replica, fields))
             sent.addErrback(lambda _failure: None)
 
 
-def _keepers(guard: Guard, key: str) -> Sequence[Target]:
+def _replicas(guard: Guard, key: str) -> Sequence[Target]:
     by_host = {each.host: each for each in service_hosts(guard)}
-    return [by_host[host] for host in keepers_of(by_host, key)]
+    return [by_host[host] for host in replicas_of(by_host, key)]
 
 
-async def _ask(guard: Guard, keeper: Target, claim: KeyClaim) -> Vote | None:
-    if keeper.host == guard.host:
+async def _ask(guard: Guard, replica: Target, claim: KeyClaim) -> Vote | None:
+    if replica.host == guard.host:
         return _own_vote(guard, claim.key, claim.holder)
-    answer = await _send(guard, keeper, _headers(claim))
+    answer = await _send(guard, replica, _headers(claim))
     cast = names.first_value(answer, names.VOTE) if answer else ''
     return Vote(cast) if cast in set(Vote) else None
 
 
 async def _send(
     guard: Guard,
-    keeper: Target,
+    replica: Target,
     fields: Headers,
 ) -> Headers | None:
-    url = f'http://{keeper.address}:{keeper.guard_port}/'
+    url = f'http://{replica.address}:{replica.guard_port}/'
     deadline = guard.reactor.seconds() + CLAIM_LIMIT_S
     outgoing = Outgoing(b'POST', url.encode(), fields, None, deadline)
     sent = await send_request(guard.peers, guard.reactor, outgoing)
--- a/marjoramlead/keepers.py
+++ b/marjoramlead/key_replicas.py
@@ -1,12 +1,12 @@
 """Who remembers an idempotency key, and when a request may run under it.
 
-The keepers of a key are the first hosts of its service by rendezvous hashing
+The replicas of a key are the first hosts of its service by rendezvous hashing
 over the host list, whether these take work or not. A request with a key runs
-only after a majority of the keepers has granted the key to it. Two
-majorities share a keeper, so a key is granted once, whatever is cut off.
+only after a majority of the replicas has granted the key to it. Two
+majorities share a replica, so a key is granted once, whatever is cut off.
 
-A keeper that may have forgotten the key does not vote: one that was not a
-keeper of the key under each host list that it has had within the contract's
+A replica that may have forgotten the key does not vote: one that was not a
+replica of the key under each host list that it has had within the contract's
 key memory. A host that has just started had none, so it does not vote either.
 What it has recorded itself it knows all the same.
 """
@@ -24,8 +24,8 @@
     'Tally',
     'Vote',
     'follow_hosts',
-    'keepers_of',
     'release_key',
+    'replicas_of',
     'tally',
     'vote',
 )
@@ -36,7 +36,7 @@
 
 
 class Vote(StrEnum):
-    """What a keeper says to a claim."""
+    """What a replica says to a claim."""
 
     GRANTED = 'granted'
     HELD = 'held'
@@ -85,7 +85,7 @@
     earlier: list[EarlierHosts] = field(default_factory=list)
 
 
-def keepers_of(hosts: Collection[str], key: str) -> list[str]:
+def replicas_of(hosts: Collection[str], key: str) -> list[str]:
     """Name the hosts that remember a key."""
     order = sorted(hosts, key=lambda host: -_score(host, key))
     return order[:KEEPERS]
@@ -118,7 +118,7 @@
     Parameters
     ----------
     ledger
-        Of the keeper.
+        Of the replica.
     key
         That is claimed.
     holder
@@ -146,23 +146,23 @@
         ledger.holders.pop(key)
 
 
-def tally(votes: Sequence[Vote | None], keepers: int) -> Tally:
+def tally(votes: Sequence[Vote | None], replicas: int) -> Tally:
     """Sum up the votes that have come in so far.
 
     Parameters
     ----------
     votes
-        One for each keeper that answered; None for one that did not.
-    keepers
+        One for each replica that answered; None for one that did not.
+    replicas
         How many there are.
     """
     if Vote.HELD in votes:
         return Tally.HELD
-    majority = keepers // 2 + 1
+    majority = replicas // 2 + 1
     granted = votes.count(Vote.GRANTED)
     if granted >= majority:
         return Tally.GRANTED
-    left = keepers - len(votes)
+    left = replicas - len(votes)
     return Tally.OPEN if granted + left >= majority else Tally.LOST
 
 
@@ -171,7 +171,7 @@
         each.hosts for each in ledger.earlier if each.until + memory > now
     ]
     return all(
-        ledger.host in keepers_of(listed, key)
+        ledger.host in replicas_of(listed, key)
         for listed in (*recent, ledger.hosts)
     )
 
--- a/marjoramlead/load_watch.py
+++ b/marjoramlead/load_watch.py
@@ -67,19 +67,19 @@
     """
     restarted = watch.started != report['started']
     watch.started = report['started']
-    warmth = watch.guard.admission.warmth
+    slow_start = watch.guard.admission.slow_start
     if restarted:
-        on_cold(warmth)
+        on_cold(slow_start)
         watch.guard.counters.add('target.restarted')
     else:
-        on_cleared(warmth)
+        on_cleared(slow_start)
     return restarted
 
 
 def suspect_restart(watch: LoadWatch) -> None:
     """Spare the target, whose idle connection closed, until it reports."""
     watch.guard.counters.add('target.suspected')
-    on_suspicion(watch.guard.admission.warmth)
+    on_suspicion(watch.guard.admission.slow_start)
     if not watch.is_asking:
         _tick(watch)
 
--- a/marjoramlead/slow_start.py
+++ b/marjoramlead/slow_start.py
@@ -3,7 +3,7 @@
 The window starts at what the contract says that a cold target bears, and
 reaches all slots after as many whole answers as the contract asks for. It
 grows on work done, never on time alone. An answer that shows distress halves
-the warmth: a target that went cold without a sign is found in a few answers.
+the window: a target that went cold without a sign is found in a few answers.
 """
 
 from dataclasses import dataclass
@@ -51,7 +51,7 @@
 
 
 def on_failure(state: SlowStart) -> None:
-    """Halve the warmth after an answer that shows distress."""
+    """Halve the window after an answer that shows distress."""
     state.answers //= 2
 
 
--- a/marjoramlead/status.py
+++ b/marjoramlead/status.py
@@ -102,6 +102,6 @@
         'service': guard.target['service'],
         'running': active_total(admission),
         'waiting': len(admission.waiting),
-        'window': window_of(admission.warmth, admission.terms),
+        'window': window_of(admission.slow_start, admission.terms),
         'is_draining': admission.is_draining,
     }
--- a/standins/source.py
+++ b/standins/source.py
@@ -15,8 +15,8 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
+from marjoramlead.body_reader import collect_body
 from marjoramlead.clock import Clock
-from marjoramlead.collecting import collect_body
 from marjoramlead.http_server import StreamRequest, make_site
 from marjoramlead.loop import install_loop
 from marjoramlead.problems import json_answer
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -17,9 +17,9 @@
 from marjoramlead.counters import Counters
 from marjoramlead.gateway import Gateway, handle_call
 from marjoramlead.guard import Guard, follow_service
-from marjoramlead.guarding import handle_work
+from marjoramlead.guard_requests import handle_work
 from marjoramlead.http_server import make_site
-from marjoramlead.keepers import KeyLedger
+from marjoramlead.key_replicas import KeyLedger
 from marjoramlead.load_watch import LoadWatch, note_report, suspect_restart
 from marjoramlead.picking import TargetStates
 from marjoramlead.versions import VersionStore, make_version, offer
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -58,7 +58,7 @@
 
     @rule()
     def go_cold(self):
-        on_cold(self.state.warmth)
+        on_cold(self.state.slow_start)
 
     @rule(seconds=st.floats(0.001, 1))
     def pass_time(self, seconds):
@@ -91,13 +91,13 @@
 def test_cold_target_gets_its_cold_slots():
     state = Admission(TERMS)
     fill(state, 9)
-    assert len(state.running) < window_of(state.warmth, TERMS) + 1
-    assert window_of(state.warmth, TERMS) == TERMS['cold_slots']
+    assert len(state.running) < window_of(state.slow_start, TERMS) + 1
+    assert window_of(state.slow_start, TERMS) == TERMS['cold_slots']
 
 
 def test_internal_check_runs_when_all_other_slots_are_taken():
     state = Admission(TERMS)
-    state.warmth.answers = TERMS['warm_answers']
+    state.slow_start.answers = TERMS['warm_answers']
     fill(state, 50)
     assert admit(state, Entry(99, 'internal', 9), 0) is None
     assert 99 in state.running
--- a/tests/test_keepers.py
+++ b/tests/test_key_replicas.py
@@ -1,13 +1,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from marjoramlead.keepers import (
+from marjoramlead.key_replicas import (
     KeyLedger,
     Tally,
     Vote,
     follow_hosts,
-    keepers_of,
     release_key,
+    replicas_of,
     tally,
     vote,
 )
@@ -20,7 +20,7 @@
 keys = st.sampled_from(['a', 'b'])
 
 
-class KeeperMachine(RuleBasedStateMachine):
+class ReplicaMachine(RuleBasedStateMachine):
     """Claims by any host, cut off from some, while hosts come and go.
 
     Hosts hear of a list late, and in any order; one list follows the next
@@ -51,20 +51,20 @@
     def claim(self, key, runner, cut, fails):
         self.count += 1
         holder = f'{runner}/{self.count}'
-        keepers = keepers_of(self.ledgers[runner].hosts, key)
+        replicas = replicas_of(self.ledgers[runner].hosts, key)
         votes = []
-        for each in keepers:
+        for each in replicas:
             reached = each == runner or each not in cut
             ledger = self.ledgers[each]
             answer = vote(ledger, key, holder, self.now, MEMORY_S)
             votes.append(answer if reached else None)
             if not reached:
                 release_key(ledger, key, holder)
-        outcome = tally(votes, len(keepers))
+        outcome = tally(votes, len(replicas))
         if outcome is Tally.GRANTED and not fails:
             self.note_run(key)
             return
-        for each in keepers:
+        for each in replicas:
             release_key(self.ledgers[each], key, holder)
 
     def note_run(self, key):
@@ -98,7 +98,7 @@
         self.now += seconds
 
 
-TestKeepers = KeeperMachine.TestCase
+TestReplicas = ReplicaMachine.TestCase
 
 
 def test_majority_of_three_is_two():
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -89,5 +89,5 @@
     mesh = warm_mesh()
     mesh.net.reset(TARGET)
     mesh.net.advance(0.1)
-    state = mesh.guards[0].admission.warmth
+    state = mesh.guards[0].admission.slow_start
     assert window_of(state, TERMS) == TERMS['slots']
