--- a/marjoramlead/cli.py
+++ b/marjoramlead/cli.py
@@ -161,9 +161,7 @@
     data_centre
         Its name.
     """
-    revision = set_out(publishing.publisher, data_centre, out=True)
-    sys.stdout.write(f'{data_centre} is out at revision {revision}\n')
-    return _follow(publishing, OPERATIONS, revision)
+    return _set_out(publishing, data_centre, out=True)
 
 
 @app.command(name='bring-back')
@@ -180,9 +178,7 @@
     data_centre
         Its name.
     """
-    revision = set_out(publishing.publisher, data_centre, out=False)
-    sys.stdout.write(f'{data_centre} is back at revision {revision}\n')
-    return _follow(publishing, OPERATIONS, revision)
+    return _set_out(publishing, data_centre, out=False)
 
 
 @app.command
@@ -202,10 +198,7 @@
         Print it for scripts.
     """
     found = fetch_status(node)
-    if as_json:
-        sys.stdout.write(f'{json.dumps(found, indent=2)}\n')
-        return 0
-    return _print_lines(status_lines(found))
+    return _print_found(found, status_lines(found), as_json=as_json)
 
 
 @app.command
@@ -225,10 +218,7 @@
         Print it for scripts.
     """
     found = fetch_sidecar(node)
-    if as_json:
-        sys.stdout.write(f'{json.dumps(found, indent=2)}\n')
-        return 0
-    return _print_lines(sidecar_lines(found))
+    return _print_found(found, sidecar_lines(found), as_json=as_json)
 
 
 @app.command(name='check-settings')
@@ -266,10 +256,7 @@
         Print it for scripts.
     """
     contract = contract_in_force(node, customer)
-    if as_json:
-        sys.stdout.write(f'{json.dumps(contract, indent=2)}\n')
-        return 0
-    return _print_lines(contract_lines(contract))
+    return _print_found(contract, contract_lines(contract), as_json=as_json)
 
 
 @app.command
@@ -313,6 +300,25 @@
     return _print_lines(refusal_lines(Reason(refused['reason'])))
 
 
+def _set_out(publishing: Publishing, data_centre: str, *, out: bool) -> int:
+    revision = set_out(publishing.publisher, data_centre, out=out)
+    where = 'out' if out else 'back'
+    sys.stdout.write(f'{data_centre} is {where} at revision {revision}\n')
+    return _follow(publishing, OPERATIONS, revision)
+
+
+def _print_found(
+    found: object,
+    lines: Iterable[str],
+    *,
+    as_json: bool,
+) -> int:
+    if as_json:
+        sys.stdout.write(f'{json.dumps(found, indent=2)}\n')
+        return 0
+    return _print_lines(lines)
+
+
 def _print_lines(lines: Iterable[str]) -> int:
     for line in lines:
         sys.stdout.write(f'{line}\n')
