Placing: a target that joined is tried, though others are known to be quick

A target that never answered was expected to take 0.1 s; the others were known to answer in about 0.05 s, so it was never tried and stayed unknown. Ruled out: its readiness and entry; its own host used it. Change: the first request counts nothing, further ones 0.1 s each until there is an answer. The new test failed on the code before.

--- a/marjoramlead/placement.py
+++ b/marjoramlead/placement.py
@@ -31,7 +31,8 @@
     'rank_targets',
 )
 
-# Work time assumed for a target that never reported.
+# Work time assumed of each request that a target has and never answered one.
+# The first is free: a target that joined is tried, or it would stay unknown.
 UNKNOWN_WORK_S: Final = 0.1
 # A report is believed in full at first and for nothing after this time.
 REPORT_LIFE_S: Final = 1.0
@@ -135,12 +136,12 @@
     penalty = failure_rate(outlook, now) * FAILURE_S
     report = outlook.report
     if report is None:
-        return UNKNOWN_WORK_S * max(1, outlook.sent_since) + penalty
+        return UNKNOWN_WORK_S * outlook.sent_since + penalty
     work = report.work_s or UNKNOWN_WORK_S
     trust = max(0, 1 - (now - outlook.reported_at) / REPORT_LIFE_S)
     excess = max(0, outlook.sent_since + 1 - report.room)
     queued = excess * work / max(1, report.room + 1)
-    return work + trust * (report.wait_s + queued) + penalty
+    return report.work_s + trust * (report.wait_s + queued) + penalty
 
 
 def note_report(outlook: Outlook, report: LoadReport, now: float) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -35,6 +35,19 @@
     assert ranked(outlooks, [target('t1'), target('t2')])[0] == 't2'
 
 
+def test_target_that_joined_is_tried_though_others_are_quick():
+    outlooks = Outlooks(Random(1))
+    both = [target('t1'), target('t2')]
+    note_report(outlooks.of('t1'), LoadReport(4, 0, 0.03), 1.0)
+    assert ranked(outlooks, both)[0] == 't2'
+    note_sent(outlooks.of('t2'))
+    assert ranked(outlooks, both)[0] == 't1'
+    note_report(outlooks.of('t2'), LoadReport(4, 0, 0), 1.0)
+    assert ranked(outlooks, both)[0] == 't2'
+    note_report(outlooks.of('t2'), LoadReport(0, 0.2, 0), 1.0)
+    assert ranked(outlooks, both)[0] == 't1'
+
+
 def test_host_that_cannot_be_reached_comes_last_for_a_while():
     outlooks = Outlooks(Random(1))
     note_failure(outlooks.of('t1'), 1.0)
