--- a/marjoramlead/attempts.py
+++ b/marjoramlead/attempts.py
@@ -1,5 +1,6 @@
 """Send a call to guards, attempt after attempt, until it is answered."""
 
+from collections.abc import Awaitable
 from typing import Final
 
 from twisted.internet.defer import Deferred
@@ -54,7 +55,8 @@
         target = next_target(call, gateway.place, gateway.reactor.seconds())
         if isinstance(target, Refusal):
             return target
-        refusal = await _attempt(gateway, call, req, body, target)
+        sending = _send_whole(gateway, call, req, body, target)
+        refusal = await _attempt(gateway, target, sending)
         if refusal is None:
             return None
         if req.is_gone:
@@ -85,15 +87,13 @@
 
 async def _attempt(
     gateway: Gateway,
-    call: Call,
-    req: StreamRequest,
-    body: RequestBody | None,
     target: Target,
+    sending: Awaitable[Refusal | None],
 ) -> Refusal | None:
     state = gateway.place.states.of(target.host)
     state.in_flight += 1
     try:
-        refusal = await _send_whole(gateway, call, req, body, target)
+        refusal = await sending
     finally:
         state.in_flight -= 1
     now = gateway.reactor.seconds()
