--- a/tests/test_target_queue.py
+++ b/tests/test_target_queue.py
@@ -290,3 +290,30 @@
     set_cold(queue, 3, 11)
     assert load_report(queue, 0).room <= 2
     assert load_report(queue, 3.1).room == 9
+
+
+def full_queue():
+    queue = TargetQueue(slots=1)
+    queue.forecast.work['r'] = 0.1
+    offer(queue, entry(1, 0), 0, may_wait=True)
+    return queue
+
+
+def test_what_can_be_in_time_goes_before_what_is_late():
+    queue = full_queue()
+    late = entry(2, 0, aim=0.05, wait=1.0)
+    in_time = entry(3, 0, aim=0.6, wait=1.2)
+    assert offer(queue, late, 0, may_wait=True) is False
+    assert offer(queue, in_time, 0, may_wait=True) is False
+    finish(queue, 1)
+    assert start_ready(queue, 0.1)[0] == [in_time]
+
+
+def test_late_request_is_refused_once_its_end_is_known():
+    queue = full_queue()
+    late = entry(2, 0, aim=0.05, wait=0.5)
+    assert offer(queue, late, 0, may_wait=True) is False
+    assert start_ready(queue, 0.1) == ([], [])
+    _started, dropped = start_ready(queue, 0.42)
+    assert [made for made, _refusal in dropped] == [late]
+    assert dropped[0][1].verdict is Verdict.NOT_RUN
