Read again: the load model apart from its command; comments that said too much

Two comments on the queue spoke of equal shares and of means that fade, which was taken back. No decision of a node and no check changes.

--- a/marjoramlead/queue_forecast.py
+++ b/marjoramlead/queue_forecast.py
@@ -1,8 +1,8 @@
 """What a target's queue learns: work by route, load by rank, served shares.
 
-Every mean here fades with time by itself, so that nothing learned in an
-overload outlives it. Nothing here does I/O; times are seconds on the node's
-monotonic clock.
+Counts of requests fade with time by themselves, so that no overload outlives
+itself; mean work times follow the latest answers. Nothing here does I/O; times
+are seconds on the node's monotonic clock.
 """
 
 from dataclasses import dataclass, field
--- a/marjoramlead/target_queue.py
+++ b/marjoramlead/target_queue.py
@@ -4,9 +4,9 @@
 request of another node can pass it. Load that it answers: more requests than
 the target has slots, from any number of senders, for any length of time. The
 target never holds more than its slots. What can still meet its objective is
-served first, by priority; routes of one priority get equal shares of what they
-ask for; what cannot end in time is refused at once, with the time after which
-it could. A cold target gets its granted rate, evenly spaced.
+served first, by priority, then by deadline, but no route is starved by others
+of its priority; what cannot end in time is refused at once, with the time after
+which it could. A cold target gets its granted rate, evenly spaced.
 
 Nothing here does I/O; times are seconds on the node's monotonic clock.
 """
--- a/tests/test_queue_load.py
+++ b/tests/test_queue_model.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bench.queue_load import KINDS, Kind, Load, play
+from bench.queue_model import KINDS, Kind, Load, play
 
 # The platform's rules: what is urgent is not served less often than others, by
 # more than 5 in 100; a kind that is served less than a quarter as often as all
