Count bytes by purpose, and log the stages of a lost hop

The incident's logs don't tell whether the bytes that hosts receive come from the store, from feeds of peers or from requests, nor whether a lost hop had a connection. Adds marjoramlead_traffic_bytes, the histogram of hop acknowledgements, stages on hop_lost and bytes on news lines.

--- a/marjoramlead/hop_client.py
+++ b/marjoramlead/hop_client.py
@@ -17,6 +17,7 @@
 from marjoramlead.hops import (
     FATE_PATH,
     JOB_HEADER,
+    MS_PER_SECOND,
     REPORT_HEADER,
     Job,
     decode_report,
@@ -27,6 +28,7 @@
 )
 from marjoramlead.ledger import Outcome
 from marjoramlead.mesh_state import TargetEntry
+from marjoramlead.metrics import Metrics, traffic_counter
 from marjoramlead.placement import (
     BalancerState,
     record_load_report,
@@ -66,6 +68,21 @@
 )
 
 
+@dataclass(slots=True)
+class _HopProgress:
+    """When the stages of a hop were reached, on the monotonic clock.
+
+    Attributes
+    ----------
+    connected_at, acknowledged_at
+        None before the stage.
+    """
+
+    offered_at: float
+    connected_at: float | None = None
+    acknowledged_at: float | None = None
+
+
 @dataclass(slots=True)
 class HopClient:
     """Client for the nodes of other targets.
@@ -86,6 +103,7 @@
     reactor: Clock
     port: int
     on_revision: Callable[[int], None]
+    metrics: Metrics
     connect: Connect = connect_tcp
     pools: dict[str, ConnectionPool] = field(default_factory=dict)
 
@@ -98,7 +116,8 @@
     """Offer a job to the node of its target and return the outcome."""
     host = target.address[0]
     sent_at = client.reactor.seconds()
-    result = await _send_job(client, job, host)
+    progress = _HopProgress(sent_at)
+    result = await _send_job(client, job, host, progress)
     if isinstance(result, Reply):
         return _process_reply(client, job, result)
     if not result.may_have_arrived:
@@ -112,6 +131,10 @@
         request_id=job.request_id,
         target=job.target_id,
         reason=result.reason,
+        bytes=len(job.body),
+        connected_ms=_elapsed_ms(progress, progress.connected_at),
+        acknowledged_ms=_elapsed_ms(progress, progress.acknowledged_at),
+        lost_ms=_elapsed_ms(progress, client.reactor.seconds()),
     )
     return await _resolve_fate(client, job, host, sent_at)
 
@@ -120,6 +143,7 @@
     client: HopClient,
     job: Job,
     host: str,
+    progress: _HopProgress,
 ) -> Reply | ConnectionFailure:
     """Send a job, bounded by the acknowledgement timeout and its deadline."""
     now = client.reactor.seconds()
@@ -131,12 +155,25 @@
         job.body,
         expects_continue=len(job.body) >= EXPECT_CONTINUE_BYTES,
     )
+
+    def on_connected() -> None:
+        progress.connected_at = client.reactor.seconds()
+
+    def on_acknowledged() -> None:
+        _cancel_timer(ack_timer)
+        if progress.acknowledged_at is None:
+            progress.acknowledged_at = client.reactor.seconds()
+            client.metrics.hop_acknowledgement.observe(
+                progress.acknowledged_at - progress.offered_at
+            )
+
     wait = TimedWait(
         client.reactor,
         send(
             _pool_for(client, host),
             outgoing,
-            on_acknowledged=lambda: _cancel_timer(ack_timer),
+            on_acknowledged=on_acknowledged,
+            on_connected=on_connected,
         ),
     )
     ack_timer = wait.add_deadline(now + ACKNOWLEDGE_TIMEOUT_S)
@@ -225,6 +262,7 @@
         (host, client.port),
         0,
         client.connect,
+        traffic_counter(client.metrics, 'fate'),
     )
     wait = TimedWait(client.reactor, send(pool, outgoing))
     wait.add_deadline(job.deadline + RESPONSE_GRACE_S)
@@ -235,6 +273,12 @@
     return _process_reply(client, job, send_result.ok)
 
 
+def _elapsed_ms(progress: _HopProgress, reached_at: float | None) -> int | None:
+    if reached_at is None:
+        return None
+    return round((reached_at - progress.offered_at) * MS_PER_SECOND)
+
+
 def _sleep(reactor: Clock, seconds: float) -> Deferred[None]:
     sleeping: Deferred[None] = Deferred(lambda _sleeping: timer.cancel())
     timer = reactor.callLater(seconds, sleeping.callback, None)
@@ -255,6 +299,7 @@
             address,
             IDLE_TIMEOUT_S,
             client.connect,
+            traffic_counter(client.metrics, 'hop'),
         )
         client.pools[host] = pool
     return pool
--- a/marjoramlead/http_connection.py
+++ b/marjoramlead/http_connection.py
@@ -28,6 +28,7 @@
     'HeaderList',
     'HttpConnection',
     'OnAcknowledged',
+    'OnTraffic',
     'OutgoingRequest',
     'Reply',
     'ReplyMatcher',
@@ -86,6 +87,8 @@
 SendResult = Result[Reply, ConnectionFailure]
 ReplyMatcher = Callable[[Reply], bool]
 OnAcknowledged = Callable[[], None]
+# Called with the numbers of bytes sent and received.
+OnTraffic = Callable[[int, int], None]
 
 
 def header_value(headers: HeaderList, name: bytes) -> str:
@@ -142,6 +145,8 @@
         reused.
     on_lost
         Called when the connection has been closed by either side.
+    on_traffic
+        Called whenever bytes are sent or received.
     """
 
     transport: _Transport  # type: ignore[assignment]  # always TCP
@@ -150,10 +155,12 @@
         self,
         on_idle: 'Callable[[HttpConnection, Reply], None]',
         on_lost: 'Callable[[HttpConnection], None]',
+        on_traffic: OnTraffic,
     ) -> None:
         self.is_open = False
         self.on_idle = on_idle
         self.on_lost = on_lost
+        self.on_traffic = on_traffic
         self._parser = _new_parser()
         self._exchange: _Exchange | None = None
 
@@ -173,13 +180,14 @@
         """
         done: Deferred[SendResult] = Deferred(lambda _done: self.abort())
         self._exchange = _Exchange(outgoing, matches, on_acknowledged, done)
-        self.transport.write(_encode_head(self._parser, outgoing))
+        self._write(_encode_head(self._parser, outgoing))
         if not outgoing.expects_continue:
-            self.transport.write(_encode_body(self._parser, outgoing))
+            self._write(_encode_body(self._parser, outgoing))
         return done
 
     def dataReceived(self, chunk: bytes) -> None:
         """Process received bytes; abort if no request is in progress."""
+        self.on_traffic(0, len(chunk))
         if self._exchange is None:
             self.abort()
         else:
@@ -205,6 +213,10 @@
         if self.transport is not None:
             self.transport.abortConnection()
 
+    def _write(self, chunk: bytes) -> None:
+        self.on_traffic(len(chunk), 0)
+        self.transport.write(chunk)
+
     def _receive(self, chunk: bytes) -> None:
         try:
             self._parser.receive_data(chunk)
@@ -244,7 +256,7 @@
         outgoing = exchange.outgoing
         is_waiting = self._parser.our_state is h11.SEND_BODY
         if status == HTTPStatus.CONTINUE and is_waiting:
-            self.transport.write(_encode_body(self._parser, outgoing))
+            self._write(_encode_body(self._parser, outgoing))
 
     def _on_end(self, exchange: _Exchange) -> None:
         response = cast(h11.Response, exchange.response)
--- a/marjoramlead/metrics.py
+++ b/marjoramlead/metrics.py
@@ -12,7 +12,7 @@
     generate_latest,
 )
 
-__all__ = ('Metrics', 'register_gauge', 'render_metrics')
+__all__ = ('Metrics', 'register_gauge', 'render_metrics', 'traffic_counter')
 
 # Upper bounds, from the duration of one hop to the longest request deadline.
 LATENCY_BUCKETS_S: Final = (
@@ -41,6 +41,12 @@
         Requests to the platform's store, by outcome.
     versions
         Routing versions that have been applied.
+    traffic
+        Bytes exchanged as a client of the store and of other nodes, by
+        purpose and direction.
+    hop_acknowledgement
+        Seconds from offering a request to another node until that node
+        acknowledges it.
     """
 
     registry: CollectorRegistry = field(default_factory=CollectorRegistry)
@@ -51,6 +57,8 @@
     probes: Counter = field(init=False)
     store_calls: Counter = field(init=False)
     versions: Counter = field(init=False)
+    traffic: Counter = field(init=False)
+    hop_acknowledgement: Histogram = field(init=False)
 
     def __post_init__(self) -> None:
         registry = self.registry
@@ -95,6 +103,32 @@
             'Routing versions that have been applied.',
             registry=registry,
         )
+        self.traffic = Counter(
+            'marjoramlead_traffic_bytes',
+            'Bytes exchanged with the store and other nodes.',
+            ['purpose', 'direction'],
+            registry=registry,
+        )
+        self.hop_acknowledgement = Histogram(
+            'marjoramlead_hop_acknowledgement_seconds',
+            'Time from offering a request to a node to its acknowledgement.',
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+
+
+def traffic_counter(
+    metrics: Metrics, purpose: str
+) -> Callable[[int, int], None]:
+    """Return a function that counts bytes sent and received for a purpose."""
+    sent = metrics.traffic.labels(purpose, 'sent')
+    received = metrics.traffic.labels(purpose, 'received')
+
+    def count(sent_bytes: int, received_bytes: int) -> None:
+        sent.inc(sent_bytes)
+        received.inc(received_bytes)
+
+    return count
 
 
 def register_gauge(
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -14,7 +14,7 @@
 from marjoramlead.errors import Fault
 from marjoramlead.events import emit
 from marjoramlead.mesh_state import Record
-from marjoramlead.metrics import Metrics
+from marjoramlead.metrics import Metrics, traffic_counter
 from marjoramlead.store_watcher import StoreUpdate
 from marjoramlead.upstream import (
     Connect,
@@ -48,7 +48,13 @@
         connect: Connect = connect_tcp,
     ) -> None:
         self._reactor = reactor
-        self._pool = ConnectionPool(reactor, address, IDLE_TIMEOUT_S, connect)
+        self._pool = ConnectionPool(
+            reactor,
+            address,
+            IDLE_TIMEOUT_S,
+            connect,
+            traffic_counter(metrics, 'store'),
+        )
         self._host = f'{address[0]}:{address[1]}'.encode()
         self._metrics = metrics
 
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -127,6 +127,7 @@
         on_change,
         reactor,
         rng,
+        metrics,
         connect,
     )
     balancer = BalancerState(rng)
@@ -138,6 +139,7 @@
             reactor,
             config.inbound[1],
             lambda revision: note_reported_revision(store_watcher, revision),
+            metrics,
             connect,
         ),
         balancer,
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -28,6 +28,7 @@
     confirm_revision,
     remove_unlisted,
 )
+from marjoramlead.metrics import Metrics, traffic_counter
 from marjoramlead.upstream import (
     Connect,
     ConnectionPool,
@@ -130,6 +131,7 @@
     on_change: Callable[[], None]
     reactor: Clock
     rng: Random
+    metrics: Metrics
     connect: Connect = connect_tcp
     after: int = 0
     reported_revision: int = 0
@@ -262,7 +264,13 @@
     address: Address,
 ) -> bytes | None:
     uri = FEED_PATH + b'?after=%d' % watcher.mesh_state.revision
-    pool = ConnectionPool(watcher.reactor, address, 0, watcher.connect)
+    pool = ConnectionPool(
+        watcher.reactor,
+        address,
+        0,
+        watcher.connect,
+        traffic_counter(watcher.metrics, 'feed'),
+    )
     outgoing = OutgoingRequest(b'GET', uri, [(b'Host', b'node')], b'')
     wait = TimedWait(watcher.reactor, send(pool, outgoing))
     wait.add_deadline(watcher.reactor.seconds() + PEER_TIMEOUT_S)
@@ -307,6 +315,7 @@
         revision=watcher.mesh_state.revision,
         keys=[record.key for record in changed[:10]],
         count=len(changed),
+        bytes=sum(len(record.body or b'') for record in changed),
         version=watcher.mesh_state.table.version
         if watcher.mesh_state.table
         else 0,
--- a/marjoramlead/upstream.py
+++ b/marjoramlead/upstream.py
@@ -18,6 +18,7 @@
     HeaderList,
     HttpConnection,
     OnAcknowledged,
+    OnTraffic,
     OutgoingRequest,
     Reply,
     ReplyMatcher,
@@ -31,6 +32,7 @@
     'ConnectionFailure',
     'ConnectionPool',
     'HeaderList',
+    'OnTraffic',
     'OutgoingRequest',
     'Reply',
     'SendResult',
@@ -80,6 +82,10 @@
     return protocol
 
 
+def _ignore_traffic(_sent: int, _received: int) -> None:
+    """Do nothing: traffic within a host is not counted."""
+
+
 @dataclass(slots=True)
 class ConnectionPool:
     """Pool of persistent connections to one address.
@@ -90,6 +96,8 @@
         Seconds after which an idle connection is not reused.
     connect
         Connects a protocol to an address.
+    on_traffic
+        Called with the numbers of bytes sent and received on any connection.
     idle
         Idle connections, with the time until which each can be reused.
     opened_count
@@ -100,6 +108,7 @@
     address: Address
     idle_timeout_s: float
     connect: Connect = connect_tcp
+    on_traffic: OnTraffic = _ignore_traffic
     idle: dict[HttpConnection, float] = field(default_factory=dict)
     opened_count: int = 0
 
@@ -108,15 +117,16 @@
     return True
 
 
-def _ignore_acknowledgement() -> None:
-    """Do nothing: not every server acknowledges requests."""
+def _ignore_progress() -> None:
+    """Do nothing: not every sender follows the progress of a request."""
 
 
 async def send(
     pool: ConnectionPool,
     outgoing: OutgoingRequest,
     matches: ReplyMatcher = _match_any,
-    on_acknowledged: OnAcknowledged = _ignore_acknowledgement,
+    on_acknowledged: OnAcknowledged = _ignore_progress,
+    on_connected: Callable[[], None] = _ignore_progress,
 ) -> SendResult:
     """Send a request and wait for its complete response.
 
@@ -134,6 +144,9 @@
     on_acknowledged
         Called when the server acknowledges the request with an interim
         response.
+    on_connected
+        Called when a connection is available, just before the request is
+        written to it.
     """
     connection = _pop_idle(pool)
     if connection is None:
@@ -141,6 +154,7 @@
         if opened.is_error():
             return Error(opened.error)
         connection = opened.ok
+    on_connected()
     return await connection.exchange(outgoing, matches, on_acknowledged)
 
 
@@ -173,7 +187,7 @@
     def on_lost(connection: HttpConnection) -> None:
         pool.idle.pop(connection, None)
 
-    connection = HttpConnection(on_idle, on_lost)
+    connection = HttpConnection(on_idle, on_lost, pool.on_traffic)
     try:
         await pool.connect(pool.reactor, pool.address, connection)
     except CancelledError:
--- a/tests/test_platform_mesh.py
+++ b/tests/test_platform_mesh.py
@@ -206,6 +206,24 @@
     assert mesh.runs(sent.request_id) == 1
 
 
+def test_lost_hop_is_logged_with_the_stages_that_it_reached(monkeypatch):
+    lost = []
+    monkeypatch.setattr(
+        'marjoramlead.hop_client.emit',
+        lambda _kind, **fields: lost.append(fields),
+    )
+    mesh = ready_mesh('web', 'api')
+    mesh.send(mesh.hosts[1])
+    mesh.advance(0.5)
+    mesh.net.silence((mesh.hosts[0].address, INBOUND))
+    mesh.send(mesh.hosts[1])
+    mesh.advance(1)
+    assert len(lost) == 1
+    assert lost[0]['connected_ms'] == 0
+    assert lost[0]['acknowledged_ms'] is None
+    assert 390 <= lost[0]['lost_ms'] <= 420
+
+
 def test_shutdown_finishes_requests_and_closes_connections():
     mesh = ready_mesh('web', 'web')
     sent = mesh.send(mesh.hosts[0])
--- a/tests/test_sidecar_status.py
+++ b/tests/test_sidecar_status.py
@@ -67,6 +67,34 @@
     assert get(mesh, mesh.hosts[0], '/refusals/other').status == 404
 
 
+def test_metrics_count_traffic_by_purpose():
+    mesh = ready_mesh('web', 'api')
+    mesh.send(mesh.hosts[1], method=b'POST', body=b'x' * 1000)
+    mesh.advance(0.5)
+    text = get(mesh, mesh.hosts[1], '/metrics').body.decode()
+    traffic = {
+        (purpose, direction): _sample(
+            text,
+            'marjoramlead_traffic_bytes_total'
+            f'{{direction="{direction}",purpose="{purpose}"}}',
+        )
+        for purpose in ('store', 'hop')
+        for direction in ('sent', 'received')
+    }
+    assert 0 < traffic['store', 'sent'] < traffic['store', 'received']
+    assert traffic['hop', 'sent'] > 1000
+    assert traffic['hop', 'received'] > 0
+    assert _sample(text, 'marjoramlead_hop_acknowledgement_seconds_count') == 1
+
+
+def _sample(text, name):
+    return next(
+        float(line.removeprefix(f'{name} '))
+        for line in text.splitlines()
+        if line.startswith(f'{name} ')
+    )
+
+
 def write_settings(folder, **changed):
     path = folder / 'node.json'
     document = {**SETTINGS, **changed}
