Read only the latest of several routing versions from the store

Callers saw requests late or failed while versions were published in quick succession. The watch delivers each version in full, also those that a newer one has replaced, and a longer read makes the next one larger.

--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -169,8 +169,9 @@
     keys: Iterable[str],
     revision: int,
     now: float,
+    prefix: str = '',
 ) -> list[Record]:
-    """Delete records that are missing from a complete listing of the store.
+    """Delete records that are missing from a listing of the store.
 
     Records newer than the listing are kept.
 
@@ -184,6 +185,8 @@
         Revision of the store when the listing began.
     now
         Current time on the node's monotonic clock.
+    prefix
+        Prefix of the keys that were listed.
 
     Returns
     -------
@@ -194,6 +197,7 @@
         Record(record.key, None, revision)
         for record in mesh_state.records.values()
         if record.body is not None
+        and record.key.startswith(prefix)
         and record.key not in listed_keys
         and record.revision < revision
     ]
--- a/marjoramlead/platform/names.py
+++ b/marjoramlead/platform/names.py
@@ -7,12 +7,14 @@
 __all__ = (
     'CONFIG_KEY',
     'EVACUATION_PREFIX',
+    'OPERATOR_PREFIX',
     'PLATFORM_HEADER_NAMES',
     'SETTINGS_ENV_VAR',
     'TARGET_PREFIX',
 )
 
 SETTINGS_ENV_VAR: Final = 'MARJORAMLEAD_NODE_FILE'
+OPERATOR_PREFIX: Final = 'op/'
 CONFIG_KEY: Final = 'op/config'
 EVACUATION_PREFIX: Final = 'op/evacuate/'
 TARGET_PREFIX: Final = 'servers/'
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -15,6 +15,7 @@
 from marjoramlead.events import emit
 from marjoramlead.mesh_state import Record
 from marjoramlead.metrics import Metrics, traffic_counter
+from marjoramlead.platform.names import OPERATOR_PREFIX, TARGET_PREFIX
 from marjoramlead.store_watcher import StoreUpdate
 from marjoramlead.upstream import (
     Connect,
@@ -35,6 +36,8 @@
 IDLE_TIMEOUT_S: Final = 10.0
 MS_PER_SECOND: Final = 1000
 MAX_PAGES: Final = 100
+# A watch that waits this long returns the changes made so far.
+SHORTEST_WAIT_MS: Final = 1
 
 
 class PlatformStore:
@@ -59,7 +62,35 @@
         self._metrics = metrics
 
     async def list_all(self) -> Result[StoreUpdate, Fault]:
-        """List all records.
+        """List all records."""
+        return await self._list('')
+
+    async def watch(
+        self,
+        after: int,
+        wait_s: float,
+    ) -> Result[StoreUpdate, Fault]:
+        """Wait up to ``wait_s`` seconds for changes after a revision."""
+        return await self._watch('', after, int(wait_s * MS_PER_SECOND))
+
+    async def read_latest(self, after: int) -> Result[StoreUpdate, Fault]:
+        """Read the changes after a revision without replaced versions.
+
+        A watch would deliver each version of the routing configuration in
+        full. The operator's records are listed instead, and only the changes
+        of targets are watched.
+        """
+        listing = await self._list(OPERATOR_PREFIX)
+        if listing.is_error():
+            return listing
+        changes = await self._watch(TARGET_PREFIX, after, SHORTEST_WAIT_MS)
+        if changes.is_error():
+            return changes
+        records = [*listing.ok.records, *changes.ok.records]
+        return Ok(listing.ok._replace(records=records))
+
+    async def _list(self, prefix: str) -> Result[StoreUpdate, Fault]:
+        """List the records whose keys begin with a prefix.
 
         The revision is that of the first page, so that a watch after it
         delivers the changes made while further pages were read.
@@ -68,7 +99,7 @@
         revision = 0
         after = ''
         for _page in range(MAX_PAGES):
-            query = {'PathPrefix': '', 'after': after}
+            query = {'PathPrefix': prefix, 'after': after}
             page = await self._get(  # noqa: WPS476  # pages are read in order
                 'kv-range', query, 0
             )
@@ -77,25 +108,23 @@
             revision = revision or page.ok['CurrentRev']
             records.extend(_decode_records(page.ok['items']))
             if not page.ok.get('MorePages'):
-                return Ok(StoreUpdate(records, revision, is_snapshot=True))
+                return Ok(StoreUpdate(records, revision, listed_prefix=prefix))
             after = page.ok['items'][-1]['Key']
         return Error(Fault('listing', f'more than {MAX_PAGES} pages'))
 
-    async def watch(
-        self,
-        after: int,
-        wait_s: float,
+    async def _watch(
+        self, prefix: str, after: int, wait_ms: int
     ) -> Result[StoreUpdate, Fault]:
-        """Wait up to ``wait_s`` seconds for changes after a revision."""
-        wait_ms = int(wait_s * MS_PER_SECOND)
-        query = {'PathPrefix': '', 'after': str(after), 'WaitMs': str(wait_ms)}
-        response = await self._get('kv-watch', query, wait_s)
+        query = {
+            'PathPrefix': prefix,
+            'after': str(after),
+            'WaitMs': str(wait_ms),
+        }
+        response = await self._get('kv-watch', query, wait_ms / MS_PER_SECOND)
         if response.is_error():
             return Error(response.error)
         records = _decode_records(response.ok['events'])
-        return Ok(
-            StoreUpdate(records, response.ok['CurrentRev'], is_snapshot=False)
-        )
+        return Ok(StoreUpdate(records, response.ok['CurrentRev']))
 
     async def _get(
         self,
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -76,13 +76,14 @@
     ----------
     revision
         Revision of the store that the records lead up to.
-    is_snapshot
-        Whether the records are the complete content of the store.
+    listed_prefix
+        If set, the records include all whose keys begin with this prefix, and
+        others of the same prefix no longer exist.
     """
 
     records: list[Record]
     revision: int
-    is_snapshot: bool
+    listed_prefix: str | None = None
 
 
 class Store(Protocol):
@@ -102,6 +103,9 @@
         the changes after this revision, and all records must be read again.
         """
 
+    async def read_latest(self, after: int) -> Result[StoreUpdate, Fault]:
+        """Read the changes after a revision without replaced versions."""
+
 
 @dataclass(slots=True)
 class StoreWatcher:
@@ -123,6 +127,9 @@
         Time of the first of these failures.
     is_querying_peer
         Whether a query to a peer is in progress.
+    is_routing_changing
+        Whether the last read delivered a new routing table. More versions may
+        follow in quick succession, of which only the latest is then read.
     """
 
     mesh_state: MeshState
@@ -138,6 +145,7 @@
     failures: int = 0
     failing_since: float = 0
     is_querying_peer: bool = False
+    is_routing_changing: bool = False
 
 
 def start_watching(watcher: StoreWatcher) -> None:
@@ -174,23 +182,25 @@
 
 async def _watch_store(watcher: StoreWatcher) -> None:
     while True:  # noqa: WPS457  # runs for the life of the process
-        if watcher.after:
-            result = await watcher.store.watch(watcher.after, WATCH_TIMEOUT_S)
-        else:
-            result = await watcher.store.list_all()
-        if result.is_ok():
-            old_table = watcher.mesh_state.table
-            _apply_update(watcher, result.ok)
-            is_routing_change = watcher.mesh_state.table is not old_table
-            if result.ok.records:
-                await _sleep(
-                    watcher.reactor,
-                    ROUTING_DEBOUNCE_S
-                    if is_routing_change
-                    else TARGETS_DEBOUNCE_S,
-                )
-        else:
+        result = await _read_store(watcher)
+        if result.is_error():
             await _on_fault(watcher, result.error)
+            continue
+        old_table = watcher.mesh_state.table
+        _apply_update(watcher, result.ok)
+        watcher.is_routing_changing = watcher.mesh_state.table is not old_table
+        if watcher.is_routing_changing:
+            await _sleep(watcher.reactor, ROUTING_DEBOUNCE_S)
+        elif result.ok.records:
+            await _sleep(watcher.reactor, TARGETS_DEBOUNCE_S)
+
+
+async def _read_store(watcher: StoreWatcher) -> Result[StoreUpdate, Fault]:
+    if not watcher.after:
+        return await watcher.store.list_all()
+    if watcher.is_routing_changing:
+        return await watcher.store.read_latest(watcher.after)
+    return await watcher.store.watch(watcher.after, WATCH_TIMEOUT_S)
 
 
 def _apply_update(watcher: StoreWatcher, update: StoreUpdate) -> None:
@@ -202,10 +212,14 @@
     watcher.failures = 0
     confirm_revision(watcher.mesh_state, update.revision, now)
     changed = apply_records(watcher.mesh_state, update.records, now)
-    if update.is_snapshot:
+    if update.listed_prefix is not None:
         keys = [record.key for record in update.records]
         changed += remove_unlisted(
-            watcher.mesh_state, keys, update.revision, now
+            watcher.mesh_state,
+            keys,
+            update.revision,
+            now,
+            update.listed_prefix,
         )
     watcher.after = update.revision
     _log_and_notify(watcher, changed, 'store')
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -7,7 +7,7 @@
 import json
 from base64 import b64encode
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
 from twisted.web.http_headers import Headers
@@ -42,7 +42,7 @@
     is_silent
         Whether calls get no response at all.
     pending_watches
-        Watches that wait for a change, each with the revision it starts after.
+        Watches that wait for a change.
     """
 
     reactor: Clock
@@ -53,9 +53,15 @@
     error_status: int = 0
     is_silent: bool = False
     calls: int = 0
-    pending_watches: list[tuple[int, StreamRequest]] = field(
-        default_factory=list
-    )
+    pending_watches: list['Watch'] = field(default_factory=list)
+
+
+class Watch(NamedTuple):
+    """A call that returns the changes of some keys after a revision."""
+
+    prefix: str
+    after: int
+    req: StreamRequest
 
 
 def put(store: StoreStandIn, key: str, document: object) -> None:
@@ -133,37 +139,48 @@
     req: StreamRequest,
     query: dict[str, str],
 ) -> None:
-    after = int(query['after'])
-    if after < store.compacted_revision:
+    watch = Watch(query.get('PathPrefix', ''), int(query['after']), req)
+    if watch.after < store.compacted_revision:
         req.send_response(BufferedResponse(410, Headers(), b''))
-    elif after < store.revision:
-        _reply_changes(store, req, after)
+    elif _changes(store, watch):
+        _reply_changes(store, watch)
     else:
-        watch = (after, req)
         store.pending_watches.append(watch)
         wait_s = int(query['WaitMs']) / MS_PER_SECOND
         store.reactor.callLater(wait_s, _end_watch, store, watch)
 
 
-def _end_watch(store: StoreStandIn, watch: tuple[int, StreamRequest]) -> None:
+def _end_watch(store: StoreStandIn, watch: Watch) -> None:
     if watch in store.pending_watches:
         store.pending_watches.remove(watch)
-        _reply_changes(store, watch[1], watch[0])
+        _reply_changes(store, watch)
 
 
 def _append_change(store: StoreStandIn, change: JsonObject) -> None:
     store.history.append(change)
     pending_watches = store.pending_watches
     store.pending_watches = []
-    for after, req in pending_watches:
-        _reply_changes(store, req, after)
+    for watch in pending_watches:
+        if change['Key'].startswith(watch.prefix):
+            _reply_changes(store, watch)
+        else:
+            store.pending_watches.append(watch)
+
+
+def _changes(store: StoreStandIn, watch: Watch) -> list[JsonObject]:
+    return [
+        each
+        for each in store.history
+        if each['Revision'] > watch.after
+        and each['Key'].startswith(watch.prefix)
+    ]
 
 
-def _reply_changes(store: StoreStandIn, req: StreamRequest, after: int) -> None:
+def _reply_changes(store: StoreStandIn, watch: Watch) -> None:
     if store.is_silent:
         return
-    changes = [each for each in store.history if each['Revision'] > after]
-    _reply(req, {'events': changes, 'CurrentRev': store.revision})
+    changes = _changes(store, watch)
+    _reply(watch.req, {'events': changes, 'CurrentRev': store.revision})
 
 
 def _reply(req: StreamRequest, document: JsonObject) -> None:
