One node of each data centre reads the store, the others follow it

Cause: every node read every version whole from the store, some 96 kB each, which filled links of 5 Mbit/s; requests waited behind these bytes, and so did the next read.

Each data centre's first node by rendezvous rank reads the store. Others read their parent, which answers on news or once it has confirmed that there is none, and fall back to the store within 1.1 s. Large texts travel as differences. A listing that may lack tombstones names its keys, so that a node also learns of deletions from one that started after them.

Ruled out: processor time, queries of peers (4 % of the bytes), state lost at a routing change.

--- /dev/null
+++ b/marjoramlead/feed_client.py
@@ -0,0 +1,133 @@
+"""Read the records of other nodes."""
+
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Final
+
+from marjoramlead.address import Address
+from marjoramlead.clock import Clock
+from marjoramlead.deadlines import TimedWait
+from marjoramlead.events import emit
+from marjoramlead.feeds import (
+    FeedQuery,
+    decode_feed,
+    encode_feed_query,
+    records_from_feed,
+)
+from marjoramlead.generated.hop_types import FeedDocument
+from marjoramlead.mesh_state import (
+    MeshState,
+    Record,
+    apply_records,
+    confirm_revision,
+    remove_unlisted,
+)
+from marjoramlead.metrics import Metrics, traffic_counter
+from marjoramlead.upstream import (
+    Connect,
+    ConnectionPool,
+    OutgoingRequest,
+    SendResult,
+    close_idle,
+    send,
+)
+
+__all__ = ('FeedClient', 'apply_feed', 'read_feed')
+
+# Idle connections are not reused after this time. Followers read at least once
+# in two seconds.
+IDLE_TIMEOUT_S: Final = 5.0
+# Time allowed for a response, beyond the time that the other node may wait.
+RESPONSE_TIMEOUT_S: Final = 0.3
+
+
+@dataclass(slots=True)
+class FeedClient:
+    """Connections to the nodes whose records are read.
+
+    Attributes
+    ----------
+    pools
+        Connection pools by address.
+    """
+
+    reactor: Clock
+    metrics: Metrics
+    connect: Connect
+    pools: dict[Address, ConnectionPool] = field(default_factory=dict)
+
+
+async def read_feed(
+    client: FeedClient, address: Address, query: FeedQuery
+) -> FeedDocument | None:
+    """Read the records of a node; return None if it doesn't respond.
+
+    The connection is kept for further reads if this one may wait, as a
+    follower's reads do. It is closed after a failure, because it may be
+    silent.
+    """
+    pool = _pool_for(client, address)
+    outgoing = OutgoingRequest(
+        b'GET', encode_feed_query(query), [(b'Host', b'node')], b''
+    )
+    wait = TimedWait(client.reactor, send(pool, outgoing))
+    now = client.reactor.seconds()
+    wait.add_deadline(now + query.wait_s + RESPONSE_TIMEOUT_S)
+    reply = _reply_body(await wait.result())
+    if reply is None or not query.wait_s:
+        close_idle(pool)
+        client.pools.pop(address, None)
+    if reply is None:
+        return None
+    decoded = decode_feed(reply)
+    if decoded.is_error():
+        emit('hop_unreadable', why=decoded.error)
+        return None
+    return decoded.ok
+
+
+def _reply_body(send_result: SendResult | None) -> bytes | None:
+    if send_result is None or send_result.is_error():
+        return None
+    reply = send_result.ok
+    return reply.body if reply.status == HTTPStatus.OK else None
+
+
+def apply_feed(
+    mesh_state: MeshState, document: FeedDocument, now: float
+) -> list[Record]:
+    """Apply the records that another node has sent.
+
+    The state counts as confirmed only if the other node knows at least as
+    much and its texts could be rebuilt.
+
+    Returns
+    -------
+    The records that were applied.
+    """
+    decoded = records_from_feed(mesh_state, document)
+    if decoded.is_error():
+        emit('hop_unreadable', why=decoded.error)
+        return []
+    revision = document['revision']
+    if revision >= mesh_state.revision:
+        confirm_revision(mesh_state, revision, now - document['age_s'])
+    changed = apply_records(mesh_state, decoded.ok, now)
+    for listing in document.get('listings', []):
+        keys, prefix = listing['keys'], listing['prefix']
+        changed.extend(remove_unlisted(mesh_state, keys, revision, now, prefix))
+    return changed
+
+
+def _pool_for(client: FeedClient, address: Address) -> ConnectionPool:
+    pool = client.pools.get(address)
+    if pool is None:
+        pool = ConnectionPool(
+            client.reactor,
+            address,
+            IDLE_TIMEOUT_S,
+            client.connect,
+            traffic_counter(client.metrics, 'feed'),
+        )
+        client.pools[address] = pool
+    return pool
--- /dev/null
+++ b/marjoramlead/feeds.py
@@ -0,0 +1,197 @@
+"""Messages with which nodes pass on records of the store.
+
+A node requests the records that have changed after a revision. Large texts are
+sent as the difference to a version that the receiver has. A read may wait
+until the sender has news, or has confirmed that there are none.
+"""
+
+from typing import Final, NamedTuple
+from urllib.parse import parse_qs, urlencode
+
+import msgspec
+from expression import Error, Ok, Result
+
+from marjoramlead.deltas import Edit, apply_delta, encode_delta
+from marjoramlead.errors import Fault
+from marjoramlead.generated.hop_types import (
+    FeedDocument,
+    FeedEdit,
+    FeedListing,
+    FeedRecord,
+)
+from marjoramlead.mesh_state import (
+    MeshState,
+    Record,
+    find_version,
+    large_versions,
+    records_after,
+)
+
+__all__ = (
+    'FEED_PATH',
+    'FeedQuery',
+    'decode_feed',
+    'decode_feed_query',
+    'encode_feed',
+    'encode_feed_query',
+    'feed_query',
+    'records_from_feed',
+)
+
+FEED_PATH: Final = b'/-/marjoram/feed'
+MS_PER_SECOND: Final = 1000
+# Reported instead of the infinite age of data that was never confirmed.
+MAX_AGE_S: Final = 1000.0
+FEED_DECODER: Final = msgspec.msgpack.Decoder(FeedDocument)
+
+
+class FeedQuery(NamedTuple):
+    """A read of another node's records.
+
+    Attributes
+    ----------
+    after
+        Revision up to which the receiver knows all changes.
+    bases
+        Revisions of the large records that the receiver has.
+    wait_s
+        Time that the sender may wait for news.
+    """
+
+    after: int
+    bases: frozenset[int] = frozenset()
+    wait_s: float = 0
+
+
+def feed_query(mesh_state: MeshState, wait_s: float) -> FeedQuery:
+    """Return the query for what a node does not know yet."""
+    return FeedQuery(mesh_state.revision, large_versions(mesh_state), wait_s)
+
+
+def encode_feed_query(query: FeedQuery) -> bytes:
+    """Return the path and query string of a feed read."""
+    parameters = {
+        'after': query.after,
+        'bases': ','.join(map(str, sorted(query.bases))),
+        'wait_ms': round(query.wait_s * MS_PER_SECOND),
+    }
+    encoded = urlencode(parameters, safe=',').encode()
+    return b'%b?%b' % (FEED_PATH, encoded)
+
+
+def decode_feed_query(uri: bytes) -> Result[FeedQuery, Fault]:
+    """Decode the query string of a feed read."""
+    raw = uri.partition(b'?')[2].decode('latin-1')
+    parameters = {name: texts[0] for name, texts in parse_qs(raw).items()}
+    try:
+        return Ok(
+            FeedQuery(
+                int(parameters.get('after', 0)),
+                frozenset(
+                    int(base)
+                    for base in parameters.get('bases', '').split(',')
+                    if base
+                ),
+                int(parameters.get('wait_ms', 0)) / MS_PER_SECOND,
+            )
+        )
+    except ValueError as exc:
+        return Error(Fault('feed query', str(exc)))
+
+
+def encode_feed(mesh_state: MeshState, query: FeedQuery, now: float) -> bytes:
+    """Encode the records that changed after the revision in a query."""
+    document: FeedDocument = {
+        'revision': mesh_state.revision,
+        'age_s': min(now - mesh_state.confirmed_at, MAX_AGE_S),
+        'listings': _encode_listings(mesh_state, query.after),
+        'records': [
+            _encode_record(mesh_state, record, query.bases)
+            for record in records_after(mesh_state, query.after)
+        ],
+    }
+    return msgspec.msgpack.encode(document)
+
+
+def decode_feed(raw: bytes) -> Result[FeedDocument, Fault]:
+    """Decode the response to a feed read."""
+    try:
+        return Ok(FEED_DECODER.decode(raw))
+    except msgspec.MsgspecError as exc:
+        return Error(Fault('feed', str(exc)))
+
+
+def records_from_feed(
+    mesh_state: MeshState, document: FeedDocument
+) -> Result[list[Record], Fault]:
+    """Return the records in a feed, rebuilt from the texts of this node."""
+    records: list[Record] = []
+    for each in document['records']:
+        body = _decode_body(mesh_state, each)
+        if body.is_error():
+            return Error(body.error)
+        records.append(Record(each['key'], body.ok, each['revision']))
+    return Ok(records)
+
+
+def _encode_listings(mesh_state: MeshState, after: int) -> list[FeedListing]:
+    """List the keys among which a deletion may be unknown to this node."""
+    return [
+        FeedListing(
+            prefix=prefix,
+            keys=[
+                record.key
+                for record in mesh_state.records.values()
+                if record.body is not None and record.key.startswith(prefix)
+            ],
+        )
+        for prefix, revision in mesh_state.forgotten.items()
+        if after < revision
+    ]
+
+
+def _encode_record(
+    mesh_state: MeshState, record: Record, bases: frozenset[int]
+) -> FeedRecord:
+    body = record.body or b''
+    encoded: FeedRecord = {
+        'key': record.key,
+        'text': '',
+        'revision': record.revision,
+        'is_deleted': record.body is None,
+    }
+    base = find_version(mesh_state, record.key, bases - {record.revision})
+    if base is None or base.body is None:
+        encoded['text'] = body.decode('latin-1')
+    else:
+        encoded['base_revision'] = base.revision
+        encoded['edits'] = [
+            FeedEdit(
+                start=edit.start,
+                stop=edit.stop,
+                text=edit.inserted.decode('latin-1'),
+            )
+            for edit in encode_delta(base.body, body)
+        ]
+    return encoded
+
+
+def _decode_body(
+    mesh_state: MeshState, encoded: FeedRecord
+) -> Result[bytes | None, Fault]:
+    if encoded['is_deleted']:
+        return Ok(None)
+    base_revision = encoded.get('base_revision')
+    if base_revision is None:
+        return Ok(encoded['text'].encode('latin-1'))
+    base = find_version(mesh_state, encoded['key'], {base_revision})
+    if base is None or base.body is None:
+        return Error(Fault(encoded['key'], f'no base {base_revision}'))
+    edits = [
+        Edit(edit['start'], edit['stop'], edit['text'].encode('latin-1'))
+        for edit in encoded.get('edits', [])
+    ]
+    try:
+        return Ok(apply_delta(base.body, edits))
+    except ValueError as exc:
+        return Error(Fault(encoded['key'], str(exc)))
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -1,4 +1,4 @@
-"""Messages between nodes: requests, fate queries and store records.
+"""Messages between nodes: requests and fate queries.
 
 A request is forwarded to the target's node unchanged, with its terms
 (``JobTerms``) in one extra header; the response carries a ``HopReport`` in
@@ -14,12 +14,9 @@
 from marjoramlead.errors import Fault
 from marjoramlead.generated.hop_types import (
     FateQuestion,
-    FeedDocument,
-    FeedRecord,
     HopReport,
     JobTerms,
 )
-from marjoramlead.mesh_state import MeshState, Record, records_after
 from marjoramlead.routes import RetryPolicy
 from marjoramlead.target_queue import LoadReport
 from marjoramlead.upstream import HeaderList
@@ -27,34 +24,28 @@
 
 __all__ = (
     'FATE_PATH',
-    'FEED_PATH',
     'JOB_HEADER',
     'REPORT_HEADER',
     'Job',
     'attempt_id',
     'decode_fate_query',
-    'decode_feed',
     'decode_job',
     'decode_report',
     'encode_fate_query',
-    'encode_feed',
     'encode_job',
     'encode_report',
     'load_from_report',
-    'records_from_feed',
     'refusal_from_report',
 )
 
 JOB_HEADER: Final = b'x-marjoram-job'
 REPORT_HEADER: Final = b'x-marjoram-report'
 FATE_PATH: Final = b'/-/marjoram/fate'
-FEED_PATH: Final = b'/-/marjoram/feed'
 MS_PER_SECOND: Final = 1000
 
 JOB_DECODER: Final = msgspec.json.Decoder(JobTerms)
 REPORT_DECODER: Final = msgspec.json.Decoder(HopReport)
 FATE_QUERY_DECODER: Final = msgspec.json.Decoder(FateQuestion)
-FEED_DECODER: Final = msgspec.msgpack.Decoder(FeedDocument)
 
 
 def attempt_id(request_id: str, attempt: int) -> str:
@@ -206,47 +197,3 @@
         return Ok(FATE_QUERY_DECODER.decode(raw))
     except msgspec.MsgspecError as exc:
         return Error(Fault('question', str(exc)))
-
-
-def encode_feed(mesh_state: MeshState, after: int, now: float) -> bytes:
-    """Encode the records of the store that changed after a revision.
-
-    The age of this node's data is infinite before it has first read the store;
-    it is capped at 1000 s.
-    """
-    records: list[FeedRecord] = [
-        {
-            'key': record.key,
-            'text': (record.body or b'').decode('latin-1'),
-            'revision': record.revision,
-            'is_deleted': record.body is None,
-        }
-        for record in records_after(mesh_state, after)
-    ]
-    age = min(now - mesh_state.confirmed_at, float(MS_PER_SECOND))
-    document: FeedDocument = {
-        'revision': mesh_state.revision,
-        'age_s': age,
-        'records': records,
-    }
-    return msgspec.msgpack.encode(document)
-
-
-def decode_feed(raw: bytes) -> Result[FeedDocument, Fault]:
-    """Decode the records that a peer returned."""
-    try:
-        return Ok(FEED_DECODER.decode(raw))
-    except msgspec.MsgspecError as exc:
-        return Error(Fault('feed', str(exc)))
-
-
-def records_from_feed(document: FeedDocument) -> list[Record]:
-    """Convert the records that a peer returned to records of the store."""
-    return [
-        Record(
-            record['key'],
-            None if record['is_deleted'] else record['text'].encode('latin-1'),
-            record['revision'],
-        )
-        for record in document['records']
-    ]
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -12,6 +12,7 @@
 from marjoramlead.address import Address
 from marjoramlead.client_requests import ShutdownSchedule, handle_client_request
 from marjoramlead.events import emit
+from marjoramlead.feed_server import start_feed_drain
 from marjoramlead.generated.sidecar_status_types import SidecarStatus
 from marjoramlead.http_server import (
     Handler,
@@ -83,7 +84,7 @@
         _listen(
             sidecar,
             config.control,
-            lambda req: handle_peer_request(sidecar.gate, req),
+            lambda req: _on_peer_request(sidecar, req),
         )
     if config.metrics_port is not None:
         address = (config.inbound[0], config.metrics_port)
@@ -110,7 +111,7 @@
 def _listen_inbound(sidecar: Sidecar) -> None:
     host, number = sidecar.config.inbound
     site = make_site(
-        lambda req: handle_peer_request(sidecar.gate, req),
+        lambda req: _on_peer_request(sidecar, req),
         sidecar.reactor,
     )
     port = sidecar.reactor.listenTCP(number, site, interface=host)
@@ -138,6 +139,10 @@
     handle_client_request(sidecar.frontend, req)
 
 
+def _on_peer_request(sidecar: Sidecar, req: StreamRequest) -> None:
+    handle_peer_request(sidecar.gate, sidecar.feed_server, req)
+
+
 def _answer_readiness_probe(sidecar: Sidecar, req: StreamRequest) -> None:
     is_ready = sidecar.mesh_state.table is not None and (
         sidecar.frontend.shutdown is None
@@ -277,6 +282,7 @@
         now + sidecar.config.termination_grace_s - EXIT_MARGIN_S,
     )
     sidecar.frontend.shutdown = shutdown
+    start_feed_drain(sidecar.feed_server)
     sidecar.reactor.callLater(
         TARGET_DRAIN_DELAY_S, start_gate_drain, sidecar.gate
     )
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -6,7 +6,7 @@
 record never replaces a newer one.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Final, NamedTuple
@@ -23,7 +23,9 @@
     'confirm_revision',
     'expire_held_targets',
     'find_target_by_address',
+    'find_version',
     'is_usable',
+    'large_versions',
     'records_after',
     'remove_unlisted',
 )
@@ -34,6 +36,10 @@
 # Peers that request only the changes since a revision need tombstones to learn
 # of deletions; peers without a revision get all records and need none.
 MAX_TOMBSTONES: Final = 500
+# Records of at least this size are sent between nodes as differences, for
+# which some replaced versions are kept.
+LARGE_RECORD_BYTES: Final = 4096
+REPLACED_VERSIONS: Final = 4
 
 
 class Record(NamedTuple):
@@ -109,6 +115,11 @@
         Record keys of excluded data centres, by data centre.
     records
         Latest record of each key, including tombstones.
+    replaced
+        Replaced versions of each large record, the oldest first.
+    forgotten
+        For prefixes of keys, the revision up to which ``records`` may lack
+        tombstones.
     revision
         Revision of the store up to which this node knows all changes.
     confirmed_at
@@ -132,6 +143,8 @@
     targets: dict[str, TargetEntry] = field(default_factory=dict)
     excluded: dict[str, str] = field(default_factory=dict)
     records: dict[str, Record] = field(default_factory=dict)
+    replaced: dict[str, list[Record]] = field(default_factory=dict)
+    forgotten: dict[str, int] = field(default_factory=dict)
     revision: int = 0
     confirmed_at: float = float('-inf')
     reconnected_at: float = float('-inf')
@@ -156,6 +169,8 @@
         current = mesh_state.records.get(record.key)
         if current is None or current.revision < record.revision:
             mesh_state.records[record.key] = record
+            if current is not None:
+                _keep_replaced(mesh_state, current)
             _apply_record(mesh_state, record, now)
             changed.append(record)
     if changed:
@@ -173,7 +188,8 @@
 ) -> list[Record]:
     """Delete records that are missing from a listing of the store.
 
-    Records newer than the listing are kept.
+    Records newer than the listing are kept. A record that was both created
+    and deleted before the listing gets no tombstone.
 
     Parameters
     ----------
@@ -192,6 +208,7 @@
     -------
     The deletions that were applied.
     """
+    _note_forgotten(mesh_state, prefix, revision)
     listed_keys = set(keys)
     deletions = [
         Record(record.key, None, revision)
@@ -255,6 +272,29 @@
     ]
 
 
+def large_versions(mesh_state: MeshState) -> frozenset[int]:
+    """Return the revisions of the current large records."""
+    return frozenset(
+        record.revision
+        for record in mesh_state.records.values()
+        if len(record.body or b'') >= LARGE_RECORD_BYTES
+    )
+
+
+def find_version(
+    mesh_state: MeshState, key: str, revisions: Container[int]
+) -> Record | None:
+    """Find the latest version of a record that has one of the revisions."""
+    versions = list(mesh_state.replaced.get(key, ()))
+    current = mesh_state.records.get(key)
+    if current is not None:
+        versions.append(current)
+    for version in reversed(versions):
+        if version.revision in revisions:
+            return version
+    return None
+
+
 def is_usable(mesh_state: MeshState, entry: TargetEntry) -> bool:
     """Return whether new requests may be sent to a target."""
     return (
@@ -304,6 +344,19 @@
     }
 
 
+def _note_forgotten(mesh_state: MeshState, prefix: str, revision: int) -> None:
+    known = mesh_state.forgotten.get(prefix, 0)
+    mesh_state.forgotten[prefix] = max(known, revision)
+
+
+def _keep_replaced(mesh_state: MeshState, record: Record) -> None:
+    if len(record.body or b'') >= LARGE_RECORD_BYTES:
+        versions = mesh_state.replaced.setdefault(record.key, [])
+        versions.append(record)
+        if len(versions) > REPLACED_VERSIONS:
+            versions.pop(0)
+
+
 def _apply_record(mesh_state: MeshState, record: Record, now: float) -> None:
     if record.body is None:
         _delete_record(mesh_state, record.key, now)
@@ -351,3 +404,4 @@
         tombstones.sort(key=lambda record: record.revision)
         for record in tombstones[:excess]:
             mesh_state.records.pop(record.key)
+            _note_forgotten(mesh_state, '', record.revision)
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -16,11 +16,12 @@
 from marjoramlead.bodies import BodyStream
 from marjoramlead.body_reader import collect_body
 from marjoramlead.events import emit
+from marjoramlead.feed_server import FeedServer, answer_feed_read
+from marjoramlead.feeds import FEED_PATH
 from marjoramlead.generated.hop_types import JobTerms
 from marjoramlead.headers import HOP_BY_HOP
 from marjoramlead.hops import (
     FATE_PATH,
-    FEED_PATH,
     JOB_HEADER,
     MS_PER_SECOND,
     REPORT_HEADER,
@@ -28,7 +29,6 @@
     attempt_id,
     decode_fate_query,
     decode_job,
-    encode_feed,
     encode_report,
 )
 from marjoramlead.http_server import StreamRequest
@@ -46,10 +46,11 @@
 # Sent once the headers of a job are read, so that the sender knows that the
 # job has arrived.
 ACKNOWLEDGEMENT: Final = b'HTTP/1.1 102 Processing\r\n\r\n'
-AFTER_QUERY_KEY: Final = b'after'
 
 
-def handle_peer_request(gate: TargetGate, req: StreamRequest) -> None:
+def handle_peer_request(
+    gate: TargetGate, feed_server: FeedServer, req: StreamRequest
+) -> None:
     """Serve one request from another node; failures are answered."""
     path = req.uri.partition(b'?')[0]
     raw = req.requestHeaders.getRawHeaders(JOB_HEADER)
@@ -58,7 +59,7 @@
     elif path == FATE_PATH:
         _respond_when_done(gate, req, _answer_fate_query(gate, req))
     elif path == FEED_PATH:
-        _answer_feed_read(gate, req)
+        answer_feed_read(feed_server, req)
     else:
         req.send_response(
             BufferedResponse(HTTPStatus.NOT_FOUND, Headers(), b'')
@@ -163,14 +164,6 @@
     return outcome
 
 
-def _answer_feed_read(gate: TargetGate, req: StreamRequest) -> None:
-    raw_revision = req.uri.partition(b'?')[2].partition(b'=')[2]
-    after_revision = int(raw_revision) if raw_revision.isdigit() else 0
-    now = gate.reactor.seconds()
-    document = encode_feed(gate.mesh_state, after_revision, now)
-    req.send_response(BufferedResponse(HTTPStatus.OK, Headers(), document))
-
-
 def _send_response(
     gate: TargetGate, req: StreamRequest, outcome: Outcome
 ) -> None:
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -71,7 +71,8 @@
         wait_s: float,
     ) -> Result[StoreUpdate, Fault]:
         """Wait up to ``wait_s`` seconds for changes after a revision."""
-        return await self._watch('', after, int(wait_s * MS_PER_SECOND))
+        wait_ms = max(SHORTEST_WAIT_MS, int(wait_s * MS_PER_SECOND))
+        return await self._watch('', after, wait_ms)
 
     async def read_latest(self, after: int) -> Result[StoreUpdate, Fault]:
         """Read the changes after a revision without replaced versions.
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -1,5 +1,6 @@
 """The sidecar, a node beside one target: its parts and their assembly."""
 
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -11,6 +12,9 @@
 from marjoramlead.client_requests import ClientFrontend
 from marjoramlead.clock import Reactor
 from marjoramlead.dispatch import Dispatcher
+from marjoramlead.feed_client import FeedClient
+from marjoramlead.feed_server import FeedServer, answer_waiting_reads
+from marjoramlead.feed_tree import choose_parents
 from marjoramlead.header_names import HeaderNames
 from marjoramlead.hop_client import HopClient
 from marjoramlead.ledger import AttemptLedger
@@ -88,6 +92,7 @@
     dispatcher: Dispatcher
     frontend: ClientFrontend
     store_watcher: StoreWatcher
+    feed_server: FeedServer
     metrics: Metrics
     adapter: PlatformAdapter
     next_probe_at: float = 0
@@ -116,19 +121,16 @@
         metrics,
     )
     sidecar: Sidecar
-
-    def on_change() -> None:
-        apply_mesh_changes(sidecar)
-
     store_watcher = StoreWatcher(
         mesh_state,
         adapter.make_store(metrics),
+        FeedClient(reactor, metrics, connect),
+        lambda: _parent_addresses(sidecar),
         lambda: _peer_addresses(sidecar),
-        on_change,
+        lambda: apply_mesh_changes(sidecar),
+        lambda: answer_waiting_reads(sidecar.feed_server),
         reactor,
         rng,
-        metrics,
-        connect,
     )
     balancer = BalancerState(rng)
     dispatcher = Dispatcher(
@@ -160,6 +162,7 @@
         dispatcher,
         frontend,
         store_watcher,
+        FeedServer(mesh_state, reactor),
         metrics,
         adapter,
     )
@@ -174,6 +177,16 @@
     return addresses or list(sidecar.config.seeds)
 
 
+def _parent_addresses(sidecar: Sidecar) -> list[Address]:
+    """Return the nodes to follow; none if this node reads the store."""
+    hosts: defaultdict[str, set[str]] = defaultdict(set)
+    for entry in sidecar.mesh_state.targets.values():
+        hosts[entry.data_centre].add(entry.address[0])
+    own_host, port = sidecar.config.inbound
+    parents = choose_parents(own_host, sidecar.config.data_centre, hosts)
+    return [(parent, port) for parent in parents]
+
+
 def apply_mesh_changes(sidecar: Sidecar) -> None:
     """Bring the gate and the target statistics in line with the mesh state."""
     apply_target_entry(sidecar.gate)
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -1,13 +1,16 @@
-"""Watch the platform's store, and query peers when the watch falls behind.
+"""Keep the node's records current, from the store or from another node.
 
-Each node has its own watch. A node fetches newer records from a peer if it
-cannot reach the store, or if another node reports a revision that its own
-watch has not delivered, as happens when the connection to the store has gone
-silent.
+A few nodes of each data centre read the store. Every other node follows one of
+them, or a node further down: it reads the records of its parent, which answers
+as soon as it has news or has confirmed that there are none. A node whose
+parents fail, or whose parents' data is too old, reads the store itself.
+
+A node also queries a peer if it cannot reach the store, or if another node
+reports a revision that it does not receive in time.
 """
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 from typing import Final, NamedTuple, Protocol
 
@@ -16,11 +19,11 @@
 
 from marjoramlead.address import Address
 from marjoramlead.clock import Clock
-from marjoramlead.deadlines import TimedWait
 from marjoramlead.errors import Fault
 from marjoramlead.events import emit
+from marjoramlead.feed_client import FeedClient, apply_feed, read_feed
+from marjoramlead.feeds import feed_query
 from marjoramlead.generated.hop_types import FeedDocument
-from marjoramlead.hops import FEED_PATH, decode_feed, records_from_feed
 from marjoramlead.mesh_state import (
     MeshState,
     Record,
@@ -28,15 +31,6 @@
     confirm_revision,
     remove_unlisted,
 )
-from marjoramlead.metrics import Metrics, traffic_counter
-from marjoramlead.upstream import (
-    Connect,
-    ConnectionPool,
-    OutgoingRequest,
-    close_idle,
-    connect_tcp,
-    send,
-)
 
 __all__ = (
     'Store',
@@ -46,28 +40,40 @@
     'start_watching',
 )
 
-# Maximum time that a watch waits for a change. A silent connection is detected
-# after this time plus the store's response timeout. Their sum must stay within
-# five seconds: three until a node counts as connected to the store again, and
-# two for a change to take effect.
-WATCH_TIMEOUT_S: Final = 4.0
-# Debounce intervals before the next watch. Changes come in bursts, and each
-# watch that ends costs one call to the store. A routing change has two seconds
-# to take effect; target changes have a shorter interval because returning
-# targets are needed soon.
+# Maximum time that a watch waits for a change. Together with the store's
+# response time it must stay below MAX_FEED_AGE_S, since followers give up a
+# parent that confirms its data less often.
+WATCH_TIMEOUT_S: Final = 0.7
+# Debounce intervals before the next read. Changes come in bursts, and each
+# read costs one call to the store. A routing change has two seconds to take
+# effect; target changes have a shorter interval because returning targets are
+# needed soon.
 ROUTING_DEBOUNCE_S: Final = 0.5
 TARGETS_DEBOUNCE_S: Final = 0.15
+# Time for which a parent may delay the answer to a follower.
+FOLLOW_WAIT_S: Final = 1.1
+# A parent whose data was confirmed longer ago than this is replaced. With the
+# time of one read of the store, a change is then in force within two seconds
+# even if the parent has lost the store unnoticed.
+MAX_FEED_AGE_S: Final = 1.0
+# Shortest interval between two reads of a parent.
+MIN_FOLLOW_INTERVAL_S: Final = 0.1
+# Time for which a parent that has failed is avoided.
+PARENT_BACKOFF_S: Final = 2.0
+# Versions within this time of each other count as quick succession.
+RAPID_CHANGES_S: Final = 2.0
 # After an outage longer than this, the store may lack entries of live targets.
 MIN_OUTAGE_S: Final = 1.0
 # Backoff between attempts to reach the store: shortest first delay, and longest
 # delay. Each delay is random within a factor of two.
 BACKOFF_FIRST_S: Final = 0.15
 BACKOFF_MAX_S: Final = 1.0
-# Time allowed for the watch to deliver a revision that another node reported:
+MS_PER_SECOND: Final = 1000
+# Logged instead of the infinite age of data that was never confirmed.
+MAX_LOGGED_AGE_S: Final = 1000.0
+# Time allowed for a revision that another node reported to arrive by itself:
 # the node may be waiting between two reads of the store.
 REVISION_GRACE_S: Final = ROUTING_DEBOUNCE_S + 0.4
-PEER_TIMEOUT_S: Final = 0.6
-HTTP_OK: Final = 200
 
 
 class StoreUpdate(NamedTuple):
@@ -110,16 +116,24 @@
 
 @dataclass(slots=True)
 class StoreWatcher:
-    """Progress of this node's watch of the store.
+    """Progress of this node in learning the store's records.
 
     Attributes
     ----------
+    feed_client
+        Reads the records of other nodes.
+    parent_addresses
+        Returns the nodes that this node may follow, the preferred one first;
+        none if it reads the store.
     peer_addresses
-        Returns the addresses of other nodes.
+        Returns the addresses of all other nodes.
     on_change
         Called after records have changed.
+    on_confirm
+        Called after each read of the store or of a parent.
     after
-        Revision that the watch has reached; 0 if all records must be read.
+        Revision up to which all changes have been read; 0 if all records must
+        be listed.
     reported_revision
         Highest revision that another node has reported.
     failures
@@ -129,24 +143,31 @@
     is_querying_peer
         Whether a query to a peer is in progress.
     is_routing_changing
-        Whether the last read delivered a new routing table. More versions may
-        follow in quick succession, of which only the latest is then read.
+        Whether the last read of the store delivered a new routing table. More
+        versions may follow, of which only the latest is then read.
+    avoided_until
+        Times until which parents that have failed are not followed.
+    origin
+        Host of the parent that was read last, or ``store``.
     """
 
     mesh_state: MeshState
     store: Store
+    feed_client: FeedClient
+    parent_addresses: Callable[[], list[Address]]
     peer_addresses: Callable[[], list[Address]]
     on_change: Callable[[], None]
+    on_confirm: Callable[[], None]
     reactor: Clock
     rng: Random
-    metrics: Metrics
-    connect: Connect = connect_tcp
     after: int = 0
     reported_revision: int = 0
     failures: int = 0
     failing_since: float = 0
     is_querying_peer: bool = False
     is_routing_changing: bool = False
+    avoided_until: dict[Address, float] = field(default_factory=dict)
+    origin: str = ''
 
 
 def start_watching(watcher: StoreWatcher) -> None:
@@ -183,34 +204,79 @@
 
 async def _watch_store(watcher: StoreWatcher) -> None:
     while True:  # noqa: WPS457  # runs for the life of the process
-        result = await _read_store(watcher)
-        if result.is_error():
-            await _on_fault(watcher, result.error)
-            continue
-        old_table = watcher.mesh_state.table
-        _apply_update(watcher, result.ok)
-        watcher.is_routing_changing = watcher.mesh_state.table is not old_table
-        if watcher.is_routing_changing:
-            await _sleep(watcher.reactor, ROUTING_DEBOUNCE_S)
-        elif result.ok.records:
-            await _sleep(watcher.reactor, TARGETS_DEBOUNCE_S)
-
-
-async def _read_store(watcher: StoreWatcher) -> Result[StoreUpdate, Fault]:
+        parent = _choose_parent(watcher)
+        if parent is None:
+            await _read_store(watcher, WATCH_TIMEOUT_S)
+        elif not await _follow(watcher, parent):
+            await _read_store(watcher, 0)
+
+
+def _choose_parent(watcher: StoreWatcher) -> Address | None:
+    """Return the parent to read next, or None to read the store."""
     if not watcher.after:
-        return await watcher.store.list_all()
+        return None
+    now = watcher.reactor.seconds()
+    for parent in watcher.parent_addresses():
+        if watcher.avoided_until.get(parent, 0) <= now:
+            return parent
+    return None
+
+
+async def _follow(watcher: StoreWatcher, parent: Address) -> bool:
+    """Read a parent once; return whether this node is current afterwards."""
+    started_at = watcher.reactor.seconds()
+    query = feed_query(watcher.mesh_state, FOLLOW_WAIT_S)
+    document = await read_feed(watcher.feed_client, parent, query)
+    now = watcher.reactor.seconds()
+    if document is not None:
+        _apply_document(watcher, document, parent[0])
+    age = now - watcher.mesh_state.confirmed_at
+    if document is None or age > MAX_FEED_AGE_S:
+        watcher.avoided_until[parent] = now + PARENT_BACKOFF_S
+        emit('parent_lost', parent=parent[0], age_ms=_age_ms(watcher, now))
+        return False
+    _note_origin(watcher, parent[0])
+    _note_contact(watcher, now)
+    elapsed = now - started_at
+    if elapsed < MIN_FOLLOW_INTERVAL_S:
+        await _sleep(watcher.reactor, MIN_FOLLOW_INTERVAL_S - elapsed)
+    return True
+
+
+async def _read_store(watcher: StoreWatcher, wait_s: float) -> None:
+    """Read the store once, and wait until it may be read again."""
+    result = await _call_store(watcher, wait_s)
+    if result.is_error():
+        await _on_fault(watcher, result.error)
+        return
+    _note_origin(watcher, 'store')
+    old_table = watcher.mesh_state.table
+    _apply_update(watcher, result.ok)
+    watcher.is_routing_changing = watcher.mesh_state.table is not old_table
     if watcher.is_routing_changing:
+        await _sleep(watcher.reactor, ROUTING_DEBOUNCE_S)
+    elif result.ok.records:
+        await _sleep(watcher.reactor, TARGETS_DEBOUNCE_S)
+
+
+async def _call_store(
+    watcher: StoreWatcher, wait_s: float
+) -> Result[StoreUpdate, Fault]:
+    """Read what has changed, without replaced versions in rapid changes."""
+    if not watcher.after:
+        return await watcher.store.list_all()
+    changed_ago = (
+        watcher.reactor.seconds() - watcher.mesh_state.table_received_at
+    )
+    is_rapid = not wait_s and changed_ago < RAPID_CHANGES_S
+    if watcher.is_routing_changing or is_rapid:
         return await watcher.store.read_latest(watcher.after)
-    return await watcher.store.watch(watcher.after, WATCH_TIMEOUT_S)
+    return await watcher.store.watch(watcher.after, wait_s)
 
 
 def _apply_update(watcher: StoreWatcher, update: StoreUpdate) -> None:
     now = watcher.reactor.seconds()
-    if watcher.failures:
-        emit('store_regained', failures=watcher.failures)
-        if now > watcher.failing_since + MIN_OUTAGE_S:
-            watcher.mesh_state.reconnected_at = now
-    watcher.failures = 0
+    _note_contact(watcher, now)
     confirm_revision(watcher.mesh_state, update.revision, now)
     changed = apply_records(watcher.mesh_state, update.records, now)
     if update.listed_prefix is not None:
@@ -226,6 +292,22 @@
     _log_and_notify(watcher, changed, 'store')
 
 
+def _note_contact(watcher: StoreWatcher, now: float) -> None:
+    """End an outage of the store, reached directly or through a parent."""
+    if not watcher.failures:
+        return
+    emit('store_regained', failures=watcher.failures)
+    if now > watcher.failing_since + MIN_OUTAGE_S:
+        watcher.mesh_state.reconnected_at = now
+    watcher.failures = 0
+
+
+def _note_origin(watcher: StoreWatcher, origin: str) -> None:
+    if watcher.origin != origin:
+        watcher.origin = origin
+        emit('source', origin=origin, revision=watcher.mesh_state.revision)
+
+
 async def _on_fault(watcher: StoreWatcher, fault: Fault) -> None:
     if fault.path == 'history':
         emit('store_history_lost', after=watcher.after)
@@ -264,57 +346,22 @@
     if not peer_addresses:
         return
     address = watcher.rng.choice(peer_addresses)
-    raw = await _fetch_peer_feed(watcher, address)
-    if raw is None:
-        return
-    decoded = decode_feed(raw)
-    if decoded.is_error():
-        emit('hop_unreadable', why=decoded.error)
-    elif decoded.ok['revision'] >= watcher.mesh_state.revision:
-        _apply_peer_feed(watcher, decoded.ok, address)
-
+    query = feed_query(watcher.mesh_state, 0)
+    document = await read_feed(watcher.feed_client, address, query)
+    if document is not None:
+        _apply_document(watcher, document, address[0])
 
-async def _fetch_peer_feed(
-    watcher: StoreWatcher,
-    address: Address,
-) -> bytes | None:
-    uri = FEED_PATH + b'?after=%d' % watcher.mesh_state.revision
-    pool = ConnectionPool(
-        watcher.reactor,
-        address,
-        0,
-        watcher.connect,
-        traffic_counter(watcher.metrics, 'feed'),
-    )
-    outgoing = OutgoingRequest(b'GET', uri, [(b'Host', b'node')], b'')
-    wait = TimedWait(watcher.reactor, send(pool, outgoing))
-    wait.add_deadline(watcher.reactor.seconds() + PEER_TIMEOUT_S)
-    send_result = await wait.result()
-    close_idle(pool)
-    if (
-        send_result is None
-        or send_result.is_error()
-        or send_result.ok.status != HTTP_OK
-    ):
-        return None
-    return send_result.ok.body
 
-
-def _apply_peer_feed(
-    watcher: StoreWatcher,
-    document: FeedDocument,
-    address: Address,
+def _apply_document(
+    watcher: StoreWatcher, document: FeedDocument, origin: str
 ) -> None:
     now = watcher.reactor.seconds()
     if watcher.failures:
         watcher.mesh_state.reconnected_at = now
-    confirm_revision(
-        watcher.mesh_state, document['revision'], now - document['age_s']
-    )
-    changed = apply_records(
-        watcher.mesh_state, records_from_feed(document), now
-    )
-    _log_and_notify(watcher, changed, address[0])
+    changed = apply_feed(watcher.mesh_state, document, now)
+    if watcher.after:
+        watcher.after = max(watcher.after, watcher.mesh_state.revision)
+    _log_and_notify(watcher, changed, origin)
 
 
 def _log_and_notify(
@@ -322,8 +369,16 @@
     changed: list[Record],
     origin: str,
 ) -> None:
-    if not changed:
-        return
+    if changed:
+        _log_changes(watcher, changed, origin)
+        watcher.on_change()
+    watcher.on_confirm()
+
+
+def _log_changes(
+    watcher: StoreWatcher, changed: list[Record], origin: str
+) -> None:
+    table = watcher.mesh_state.table
     emit(
         'news',
         origin=origin,
@@ -331,11 +386,13 @@
         keys=[record.key for record in changed[:10]],
         count=len(changed),
         bytes=sum(len(record.body or b'') for record in changed),
-        version=watcher.mesh_state.table.version
-        if watcher.mesh_state.table
-        else 0,
+        version=table.version if table else 0,
     )
-    watcher.on_change()
+
+
+def _age_ms(watcher: StoreWatcher, now: float) -> int:
+    age = min(now - watcher.mesh_state.confirmed_at, MAX_LOGGED_AGE_S)
+    return round(age * MS_PER_SECOND)
 
 
 def _sleep(reactor: Clock, seconds: float) -> Awaitable[None]:
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,271 @@
+"""Records that nodes pass on to each other, while readers and links fail."""
+
+import json
+from random import Random
+
+import pytest
+from expression import Error
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Factory, Protocol
+
+from marjoramlead.errors import Fault
+from marjoramlead.feed_client import apply_feed
+from marjoramlead.feed_tree import choose_parents
+from marjoramlead.feeds import decode_feed, encode_feed, feed_query
+from marjoramlead.lifecycle import drain_sidecar
+from marjoramlead.mesh_state import (
+    MeshState,
+    Record,
+    apply_records,
+    confirm_revision,
+    remove_unlisted,
+)
+from marjoramlead.platform.decoding import decode_record
+from standins.platform_store import delete, put
+from tests.platform_mesh import INBOUND, config, ready_mesh, route
+
+IN_FORCE_S = 2
+HOSTS = 8
+ROUTES = [route(f'r{number}', 'safe', 'web') for number in range(300)]
+
+
+def fleet():
+    """Start hosts in two data centres and let them settle."""
+    mesh = ready_mesh(*('web' for _host in range(HOSTS)))
+    mesh.advance(2)
+    return mesh
+
+
+def readers(mesh):
+    """Return the hosts that read the store."""
+    return [host for host in mesh.hosts if not parents(host)]
+
+
+def parents(host):
+    return host.sidecar.store_watcher.parent_addresses()
+
+
+def versions(mesh):
+    return {host.sidecar.mesh_state.table.version for host in mesh.hosts}
+
+
+def refuse_calls(store):
+    """Make the store refuse the calls of one node."""
+
+    async def refused(*_arguments):
+        return Error(Fault('refused', 'status 503'))
+
+    _replace_calls(store, refused)
+
+
+def silence_calls(store):
+    """Leave the calls of one node unanswered until they time out."""
+
+    async def silent(*_arguments):
+        answered = Deferred()
+        store._reactor.callLater(1.3, answered.callback, None)
+        await answered
+        return Error(Fault('silent', 'no response in time'))
+
+    _replace_calls(store, silent)
+
+
+def _replace_calls(store, call):
+    for name in ('list_all', 'watch', 'read_latest'):
+        setattr(store, name, call)
+
+
+def crash(mesh, host):
+    """End a node's connections; new ones are refused."""
+    mesh.net.sites.pop((host.address, INBOUND))
+    mesh.net.reset((host.address, INBOUND))
+
+
+def cut_off(mesh, host):
+    """Drop everything that is sent to a node."""
+    factory = Factory.forProtocol(Protocol)
+    mesh.net.sites[host.address, INBOUND] = factory
+    mesh.net.silence((host.address, INBOUND))
+
+
+def test_one_node_of_each_data_centre_reads_the_store():
+    mesh = fleet()
+    assert {host.data_centre for host in readers(mesh)} == {'a', 'b'}
+    assert len(readers(mesh)) == 2
+    before = mesh.store.calls
+    mesh.advance(10)
+    calls_per_reader_and_s = (mesh.store.calls - before) / 2 / 10
+    assert calls_per_reader_and_s <= 1.5
+
+
+@pytest.mark.parametrize('fail', [crash, cut_off])
+@pytest.mark.parametrize('moment_s', [0, 0.3, 0.6])
+def test_change_is_in_force_in_time_although_a_reader_fails(fail, moment_s):
+    mesh = fleet()
+    failed = readers(mesh)[0]
+    mesh.advance(moment_s)
+    fail(mesh, failed)
+    mesh.configure(2)
+    mesh.advance(IN_FORCE_S)
+    assert versions(mesh) == {2}
+
+
+@pytest.mark.parametrize('fail', [refuse_calls, silence_calls])
+@pytest.mark.parametrize('moment_s', [0, 0.3, 0.6])
+def test_change_is_in_force_in_time_although_readers_lose_the_store(
+    fail, moment_s
+):
+    mesh = fleet()
+    mesh.advance(moment_s)
+    for reader in readers(mesh):
+        fail(reader.sidecar.store_watcher.store)
+    mesh.advance(0.1)
+    mesh.configure(2)
+    mesh.advance(IN_FORCE_S)
+    followers = [host for host in mesh.hosts if host not in readers(mesh)]
+    assert {host.sidecar.mesh_state.table.version for host in followers} == {2}
+
+
+def test_followers_leave_a_reader_that_shuts_down():
+    mesh = fleet()
+    reader = readers(mesh)[0]
+    drain_sidecar(reader.sidecar)
+    mesh.advance(0.2)
+    mesh.configure(2)
+    mesh.advance(0.8)
+    assert versions(mesh) == {2}
+
+
+def test_target_that_leaves_is_known_in_time_without_its_reader():
+    mesh = fleet()
+    reader = readers(mesh)[0]
+    leaving = next(host for host in mesh.hosts if host is not reader)
+    cut_off(mesh, reader)
+    mesh.publish(leaving, state='draining')
+    mesh.advance(IN_FORCE_S)
+    for host in mesh.hosts:
+        key = f'servers/{leaving.target.target_id}'
+        assert host.sidecar.mesh_state.targets[key].is_draining
+
+
+def mesh_state_with(*records):
+    mesh_state = MeshState(decode_record)
+    apply_records(mesh_state, records, 0)
+    return mesh_state
+
+
+def send_feed(sender, receiver):
+    """Pass on the sender's records once."""
+    raw = encode_feed(sender, feed_query(receiver, 0), 0)
+    apply_feed(receiver, decode_feed(raw).ok, 0)
+    return len(raw)
+
+
+def test_deletion_is_learnt_from_a_node_that_started_after_it():
+    receiver = mesh_state_with(Record('op/evacuate/b', b'{}', 5))
+    confirm_revision(receiver, 5, 0)
+    sender = mesh_state_with()
+    remove_unlisted(sender, [], 9, 0)
+    confirm_revision(sender, 9, 0)
+    send_feed(sender, receiver)
+    assert not receiver.excluded
+    assert receiver.revision == 9
+
+
+def test_text_without_a_common_base_is_sent_whole():
+    texts = [
+        json.dumps(config(version, routes=ROUTES)).encode()
+        for version in (1, 2, 3)
+    ]
+    receiver = mesh_state_with(Record('op/config', texts[0], 2))
+    confirm_revision(receiver, 2, 0)
+    sender = mesh_state_with(Record('op/config', texts[1], 4))
+    confirm_revision(sender, 4, 0)
+    assert send_feed(sender, receiver) > len(texts[1])
+    assert receiver.table.version == 2
+    apply_records(sender, [Record('op/config', texts[2], 6)], 0)
+    confirm_revision(sender, 6, 0)
+    assert send_feed(sender, receiver) < 1000
+    assert receiver.table.version == 3
+    assert receiver.records['op/config'].body == texts[2]
+
+
+def test_data_of_a_node_that_knows_less_confirms_nothing():
+    receiver = mesh_state_with()
+    confirm_revision(receiver, 9, 0)
+    sender = mesh_state_with()
+    confirm_revision(sender, 8, 5)
+    document = decode_feed(encode_feed(sender, feed_query(receiver, 0), 5)).ok
+    apply_feed(receiver, document, 5)
+    assert (receiver.revision, receiver.confirmed_at) == (9, 0)
+
+
+def test_fleet_keeps_up_with_random_changes_and_failures():
+    rng = Random(7)
+    mesh = fleet()
+    version = 1
+    highest = [1 for _host in mesh.hosts]
+    for _step in range(60):
+        victim = rng.choice(mesh.hosts)
+        action = rng.choice(
+            ['publish', 'publish', 'evacuate', 'reset', 'drain']
+        )
+        if action == 'publish':
+            version += 1
+            mesh.configure(version)
+        elif action == 'evacuate':
+            change = rng.choice([put, delete])
+            arguments = ({},) if change is put else ()
+            change(mesh.store, f'op/evacuate/{rng.choice("ab")}', *arguments)
+        elif action == 'reset':
+            mesh.net.reset((victim.address, INBOUND))
+        else:
+            state = rng.choice(['ready', 'draining'])
+            mesh.publish(victim, state=state)
+        mesh.advance(rng.choice([0.05, 0.2, 0.9]))
+        known = [host.sidecar.mesh_state.table.version for host in mesh.hosts]
+        assert all(
+            now >= before for now, before in zip(known, highest, strict=True)
+        )
+        highest = known
+    mesh.advance(IN_FORCE_S)
+    expected = {
+        key: record.body
+        for key, record in mesh.hosts[0].sidecar.mesh_state.records.items()
+        if record.body is not None
+    }
+    assert set(expected) == set(mesh.store.records)
+    for host in mesh.hosts:
+        bodies = {
+            key: record.body
+            for key, record in host.sidecar.mesh_state.records.items()
+            if record.body is not None
+        }
+        assert bodies == expected
+    assert versions(mesh) == {version}
+
+
+@pytest.mark.parametrize('count', [1, 2, 17, 1033])
+def test_every_host_reaches_the_reader_of_its_data_centre(count):
+    hosts = {
+        'a': [
+            f'10.0.{number // 250}.{number % 250}' for number in range(count)
+        ],
+        'b': ['10.1.0.1'],
+    }
+    preferred = {host: choose_parents(host, 'a', hosts) for host in hosts['a']}
+    roots = [host for host, chosen in preferred.items() if not chosen]
+    assert len(roots) == 1
+    depths = [_depth(preferred, host) for host in hosts['a']]
+    assert max(depths) <= 4
+    for host, chosen in preferred.items():
+        assert host not in chosen
+        assert len(set(chosen)) == (0 if host in roots else 2)
+
+
+def _depth(preferred, host):
+    depth = 0
+    while preferred[host]:
+        host = preferred[host][0]
+        depth += 1
+    return depth
