Answer 404 only if the routing table is known to be current

A change takes effect within two seconds, so 404 now needs a table confirmed within two seconds, and no report of a higher revision by another node; otherwise the answer is 503, not run. Both tests failed before: 404 on a node that another one had told of a newer revision, and 404 three seconds after contact with the store was lost.

--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -19,6 +19,7 @@
 from marjoramlead.headers import HOP_BY_HOP, is_mesh_header
 from marjoramlead.http_server import StreamRequest
 from marjoramlead.ledger import Outcome
+from marjoramlead.mesh_state import MeshState
 from marjoramlead.mesh_retry_budget import record_request
 from marjoramlead.problems import BufferedResponse
 from marjoramlead.refusals import RecentRefusals, record_refusal
@@ -41,10 +42,10 @@
 # Limit on the request bodies in memory at any time. A request whose declared
 # length would exceed it is refused before its body is read.
 MAX_BUFFERED_BYTES: Final = 48_000_000
-# A routing table that was last confirmed longer ago than this may lack routes
-# that other nodes already have, so an unknown route is answered with 503
-# instead of 404.
-MAX_TABLE_AGE_S: Final = 6.0
+# A change takes effect within two seconds. A routing table that was last
+# confirmed longer ago may lack routes that other nodes already have, so an
+# unknown route is answered with 503 instead of 404.
+MAX_TABLE_AGE_S: Final = 2.0
 # Retry-After is at most this share of the time until the request's deadline,
 # because the client would not wait longer.
 MAX_RETRY_AFTER_SHARE: Final = 0.33
@@ -156,9 +157,7 @@
     path = req.uri.decode('latin-1').partition('?')[0]
     route = find_route(mesh_state.table, host, path)
     if route is None:
-        age = context.received_at - mesh_state.confirmed_at
-        reason = Reason.NO_ROUTE if age < MAX_TABLE_AGE_S else Reason.NOT_READY
-        return Refusal(reason, Verdict.NOT_RUN, 0)
+        return _refuse_unknown_route(mesh_state, context.received_at)
     context.route = route
     context.service = choose_service(frontend.round_robin, route)
     client_timeout = _client_timeout_s(req, frontend.header_names.wait_ms)
@@ -166,6 +165,14 @@
     return _check_shutdown(frontend, context)
 
 
+def _refuse_unknown_route(mesh_state: MeshState, now: float) -> Refusal:
+    """Refuse for good only if the routing table is known to be current."""
+    is_behind = mesh_state.reported_revision > mesh_state.revision
+    if is_behind or now > mesh_state.confirmed_at + MAX_TABLE_AGE_S:
+        return Refusal(Reason.NOT_READY, Verdict.NOT_RUN)
+    return Refusal(Reason.NO_ROUTE, Verdict.NOT_RUN, 0)
+
+
 def _check_shutdown(
     frontend: ClientFrontend, context: _RequestContext
 ) -> Refusal | None:
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -122,8 +122,10 @@
         tombstones.
     revision
         Revision of the store up to which this node knows all changes.
+    reported_revision
+        Highest revision that another node has reported.
     confirmed_at
-        When that revision was last known to be the newest.
+        When ``revision`` was last known to be the newest.
     reconnected_at
         When contact with the store, or with a peer that reaches it, was last
         restored. It must be set before records that arrive afterwards are
@@ -146,6 +148,7 @@
     replaced: dict[str, list[Record]] = field(default_factory=dict)
     forgotten: dict[str, int] = field(default_factory=dict)
     revision: int = 0
+    reported_revision: int = 0
     confirmed_at: float = float('-inf')
     reconnected_at: float = float('-inf')
     held_until: dict[str, float] = field(default_factory=dict)
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -134,8 +134,6 @@
     after
         Revision up to which all changes have been read; 0 if all records must
         be listed.
-    reported_revision
-        Highest revision that another node has reported.
     failures
         Number of consecutive failed calls to the store.
     failing_since
@@ -161,7 +159,6 @@
     reactor: Clock
     rng: Random
     after: int = 0
-    reported_revision: int = 0
     failures: int = 0
     failing_since: float = 0
     is_querying_peer: bool = False
@@ -182,12 +179,10 @@
 
     If the watch does not deliver it in time, a peer is queried.
     """
-    if (
-        revision <= watcher.reported_revision
-        or revision <= watcher.mesh_state.revision
-    ):
+    mesh_state = watcher.mesh_state
+    if revision <= max(mesh_state.reported_revision, mesh_state.revision):
         return
-    watcher.reported_revision = revision
+    mesh_state.reported_revision = revision
     watcher.reactor.callLater(
         REVISION_GRACE_S,
         _check_reported_revision,
--- a/tests/test_platform_mesh.py
+++ b/tests/test_platform_mesh.py
@@ -3,6 +3,7 @@
 import pytest
 
 from marjoramlead.lifecycle import drain_sidecar
+from marjoramlead.store_watcher import note_reported_revision
 from standins.platform_store import put
 from tests.platform_mesh import INBOUND, STORE, TARGET, ready_mesh, route
 
@@ -65,6 +66,27 @@
     assert fresh.status == 503
 
 
+def test_unknown_route_is_unavailable_on_a_node_that_is_behind():
+    mesh = ready_mesh('web', 'web')
+    behind = mesh.hosts[0]
+    note_reported_revision(
+        behind.sidecar.store_watcher, mesh.store.revision + 1
+    )
+    sent = mesh.send(behind, '/none/x')
+    mesh.advance(0.1)
+    assert sent.status == 503
+    assert sent.header(b'retry-after')
+
+
+def test_unknown_route_is_unavailable_once_the_table_may_be_replaced():
+    mesh = ready_mesh('web', 'web')
+    mesh.store.is_silent = True
+    mesh.advance(3)
+    sent = mesh.send(mesh.hosts[0], '/none/x')
+    mesh.advance(0.1)
+    assert sent.status == 503
+
+
 def test_target_never_runs_more_requests_than_it_has_slots():
     mesh = ready_mesh('web', 'api', slots=3)
     sent = [mesh.send(mesh.hosts[number % 2]) for number in range(40)]
