Find a common version for differences between nodes that read apart

While nodes lost their parents, they read other versions from the store than their parents did. A query now names all versions that the node keeps, not just the current one. test_versions_read_from_the_store_meanwhile_keep_differences_small failed before.

--- a/marjoramlead/feeds.py
+++ b/marjoramlead/feeds.py
@@ -53,7 +53,7 @@
     after
         Revision up to which the receiver knows all changes.
     bases
-        Revisions of the large records that the receiver has.
+        Revisions of the versions of large records that the receiver has.
     wait_s
         Time that the sender may wait for news.
     """
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, field
 from functools import partial
+from itertools import chain
 from typing import Final, NamedTuple
 
 from marjoramlead.routes import RoutingTable
@@ -39,7 +40,7 @@
 # Records of at least this size are sent between nodes as differences, for
 # which some replaced versions are kept.
 LARGE_RECORD_BYTES: Final = 4096
-REPLACED_VERSIONS: Final = 4
+REPLACED_VERSIONS: Final = 6
 
 
 class Record(NamedTuple):
@@ -276,10 +277,11 @@
 
 
 def large_versions(mesh_state: MeshState) -> frozenset[int]:
-    """Return the revisions of the current large records."""
+    """Return the revisions of all known versions of large records."""
+    replaced = chain.from_iterable(mesh_state.replaced.values())
     return frozenset(
         record.revision
-        for record in mesh_state.records.values()
+        for record in chain(mesh_state.records.values(), replaced)
         if len(record.body or b'') >= LARGE_RECORD_BYTES
     )
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -190,6 +190,20 @@
     assert receiver.records['op/config'].body == texts[2]
 
 
+def test_versions_read_from_the_store_meanwhile_keep_differences_small():
+    texts = [
+        json.dumps(config(version, routes=ROUTES)).encode()
+        for version in range(1, 5)
+    ]
+    common = Record('op/config', texts[0], 2)
+    receiver = mesh_state_with(common, Record('op/config', texts[1], 4))
+    confirm_revision(receiver, 4, 0)
+    sender = mesh_state_with(common, Record('op/config', texts[3], 6))
+    confirm_revision(sender, 6, 0)
+    assert send_feed(sender, receiver) < 1000
+    assert receiver.records['op/config'].body == texts[3]
+
+
 def test_data_of_a_node_that_knows_less_confirms_nothing():
     receiver = mesh_state_with()
     confirm_revision(receiver, 9, 0)
