--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -32,8 +32,9 @@
 # The store usually responds within 4 ms, and takes about sixty times as long
 # when it is slow.
 RESPONSE_TIMEOUT_S: Final = 0.6
-# Idle connections are not reused after this time.
-IDLE_TIMEOUT_S: Final = 10.0
+# Idle connections are not reused after this time. They may have gone silent,
+# and a node that turns to the store has lost its parent and is in a hurry.
+IDLE_TIMEOUT_S: Final = 1.0
 MS_PER_SECOND: Final = 1000
 MAX_PAGES: Final = 100
 # A watch that waits this long returns the changes made so far.
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -22,7 +22,7 @@
 )
 from marjoramlead.platform.decoding import decode_record
 from standins.platform_store import delete, put
-from tests.platform_mesh import INBOUND, config, ready_mesh, route
+from tests.platform_mesh import INBOUND, STORE, config, ready_mesh, route
 
 IN_FORCE_S = 2
 HOSTS = 8
@@ -126,6 +126,24 @@
     assert {host.sidecar.mesh_state.table.version for host in followers} == {2}
 
 
+def test_follower_reads_the_store_over_a_new_connection():
+    mesh = fleet()
+    mesh.advance(3)
+    reader = readers(mesh)[0]
+    followers = [
+        host
+        for host in mesh.hosts
+        if (reader.address, INBOUND) in parents(host)[:1]
+    ]
+    mesh.net.silence(STORE)
+    mesh.configure(2)
+    crash(mesh, reader)
+    mesh.advance(0.5)
+    assert followers
+    for host in followers:
+        assert host.sidecar.mesh_state.table.version == 2
+
+
 def test_followers_leave_a_reader_that_shuts_down():
     mesh = fleet()
     reader = readers(mesh)[0]
