--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -283,7 +283,7 @@
             now,
             update.listed_prefix,
         )
-    watcher.after = update.revision
+    watcher.after = max(watcher.after, update.revision)
     _log_and_notify(watcher, changed, 'store')
 
 
