--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -19,8 +19,8 @@
 from marjoramlead.headers import HOP_BY_HOP, is_mesh_header
 from marjoramlead.http_server import StreamRequest
 from marjoramlead.ledger import Outcome
-from marjoramlead.mesh_state import MeshState
 from marjoramlead.mesh_retry_budget import record_request
+from marjoramlead.mesh_state import MeshState
 from marjoramlead.problems import BufferedResponse
 from marjoramlead.refusals import RecentRefusals, record_refusal
 from marjoramlead.replies import response_from_reply
--- a/marjoramlead/feed_client.py
+++ b/marjoramlead/feed_client.py
@@ -17,12 +17,12 @@
 from marjoramlead.generated.hop_types import FeedDocument
 from marjoramlead.mesh_state import (
     MeshState,
-    Record,
     apply_records,
     confirm_revision,
     remove_unlisted,
 )
 from marjoramlead.metrics import Metrics, traffic_counter
+from marjoramlead.record_log import Record
 from marjoramlead.upstream import (
     Connect,
     ConnectionPool,
--- a/marjoramlead/feeds.py
+++ b/marjoramlead/feeds.py
@@ -19,9 +19,10 @@
     FeedListing,
     FeedRecord,
 )
-from marjoramlead.mesh_state import (
-    MeshState,
+from marjoramlead.mesh_state import MeshState
+from marjoramlead.record_log import (
     Record,
+    RecordLog,
     find_version,
     large_versions,
     records_after,
@@ -65,7 +66,9 @@
 
 def feed_query(mesh_state: MeshState, wait_s: float) -> FeedQuery:
     """Return the query for what a node does not know yet."""
-    return FeedQuery(mesh_state.revision, large_versions(mesh_state), wait_s)
+    return FeedQuery(
+        mesh_state.revision, large_versions(mesh_state.records), wait_s
+    )
 
 
 def encode_feed_query(query: FeedQuery) -> bytes:
@@ -104,10 +107,10 @@
     document: FeedDocument = {
         'revision': mesh_state.revision,
         'age_s': min(now - mesh_state.confirmed_at, MAX_AGE_S),
-        'listings': _encode_listings(mesh_state, query.after),
+        'listings': _encode_listings(mesh_state.records, query.after),
         'records': [
-            _encode_record(mesh_state, record, query.bases)
-            for record in records_after(mesh_state, query.after)
+            _encode_record(mesh_state.records, record, query.bases)
+            for record in records_after(mesh_state.records, query.after)
         ],
     }
     return msgspec.msgpack.encode(document)
@@ -127,31 +130,31 @@
     """Return the records in a feed, rebuilt from the texts of this node."""
     records: list[Record] = []
     for each in document['records']:
-        body = _decode_body(mesh_state, each)
+        body = _decode_body(mesh_state.records, each)
         if body.is_error():
             return Error(body.error)
         records.append(Record(each['key'], body.ok, each['revision']))
     return Ok(records)
 
 
-def _encode_listings(mesh_state: MeshState, after: int) -> list[FeedListing]:
+def _encode_listings(log: RecordLog, after: int) -> list[FeedListing]:
     """List the keys among which a deletion may be unknown to this node."""
     return [
         FeedListing(
             prefix=prefix,
             keys=[
                 record.key
-                for record in mesh_state.records.values()
+                for record in log.by_key.values()
                 if record.body is not None and record.key.startswith(prefix)
             ],
         )
-        for prefix, revision in mesh_state.forgotten.items()
+        for prefix, revision in log.forgotten.items()
         if after < revision
     ]
 
 
 def _encode_record(
-    mesh_state: MeshState, record: Record, bases: frozenset[int]
+    log: RecordLog, record: Record, bases: frozenset[int]
 ) -> FeedRecord:
     body = record.body or b''
     encoded: FeedRecord = {
@@ -160,7 +163,7 @@
         'revision': record.revision,
         'is_deleted': record.body is None,
     }
-    base = find_version(mesh_state, record.key, bases - {record.revision})
+    base = find_version(log, record.key, bases - {record.revision})
     if base is None or base.body is None:
         encoded['text'] = body.decode('latin-1')
     else:
@@ -177,14 +180,14 @@
 
 
 def _decode_body(
-    mesh_state: MeshState, encoded: FeedRecord
+    log: RecordLog, encoded: FeedRecord
 ) -> Result[bytes | None, Fault]:
     if encoded['is_deleted']:
         return Ok(None)
     base_revision = encoded.get('base_revision')
     if base_revision is None:
         return Ok(encoded['text'].encode('latin-1'))
-    base = find_version(mesh_state, encoded['key'], {base_revision})
+    base = find_version(log, encoded['key'], {base_revision})
     if base is None or base.body is None:
         return Error(Fault(encoded['key'], f'no base {base_revision}'))
     edits = [
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -6,12 +6,18 @@
 record never replaces a newer one.
 """
 
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
-from itertools import chain
 from typing import Final, NamedTuple
 
+from marjoramlead.record_log import (
+    Record,
+    RecordLog,
+    note_forgotten,
+    put_record,
+    unlisted_records,
+)
 from marjoramlead.routes import RoutingTable
 
 __all__ = (
@@ -24,40 +30,13 @@
     'confirm_revision',
     'expire_held_targets',
     'find_target_by_address',
-    'find_version',
     'is_usable',
-    'large_versions',
-    'records_after',
     'remove_unlisted',
 )
 
 # Targets whose entries expired during an outage of the store register again
 # within about two seconds of its return.
 REREGISTRATION_GRACE_S: Final = 2.0
-# Peers that request only the changes since a revision need tombstones to learn
-# of deletions; peers without a revision get all records and need none.
-MAX_TOMBSTONES: Final = 500
-# Records of at least this size are sent between nodes as differences, for
-# which some replaced versions are kept.
-LARGE_RECORD_BYTES: Final = 4096
-REPLACED_VERSIONS: Final = 6
-
-
-class Record(NamedTuple):
-    """An item of the store.
-
-    Attributes
-    ----------
-    body
-        Content of the item; None if it was deleted. A record without a body
-        is a tombstone.
-    revision
-        Revision of the store at the last change of the item.
-    """
-
-    key: str
-    body: bytes | None
-    revision: int
 
 
 class TargetEntry(NamedTuple):
@@ -114,13 +93,6 @@
         Target entries by record key.
     excluded
         Record keys of excluded data centres, by data centre.
-    records
-        Latest record of each key, including tombstones.
-    replaced
-        Replaced versions of each large record, the oldest first.
-    forgotten
-        For prefixes of keys, the revision up to which ``records`` may lack
-        tombstones.
     revision
         Revision of the store up to which this node knows all changes.
     reported_revision
@@ -145,9 +117,7 @@
     table_received_at: float = 0
     targets: dict[str, TargetEntry] = field(default_factory=dict)
     excluded: dict[str, str] = field(default_factory=dict)
-    records: dict[str, Record] = field(default_factory=dict)
-    replaced: dict[str, list[Record]] = field(default_factory=dict)
-    forgotten: dict[str, int] = field(default_factory=dict)
+    records: RecordLog = field(default_factory=RecordLog)
     revision: int = 0
     reported_revision: int = 0
     confirmed_at: float = float('-inf')
@@ -170,15 +140,10 @@
     """
     changed: list[Record] = []
     for record in records:
-        current = mesh_state.records.get(record.key)
-        if current is None or current.revision < record.revision:
-            mesh_state.records[record.key] = record
-            if current is not None:
-                _keep_replaced(mesh_state, current)
+        if put_record(mesh_state.records, record):
             _apply_record(mesh_state, record, now)
             changed.append(record)
     if changed:
-        _prune_tombstones(mesh_state)
         mesh_state.superseded = _find_superseded(mesh_state)
     return changed
 
@@ -212,15 +177,12 @@
     -------
     The deletions that were applied.
     """
-    _note_forgotten(mesh_state, prefix, revision)
-    listed_keys = set(keys)
+    log = mesh_state.records
+    note_forgotten(log, prefix, revision)
     deletions = [
         Record(record.key, None, revision)
-        for record in mesh_state.records.values()
-        if record.body is not None
-        and record.key.startswith(prefix)
-        and record.key not in listed_keys
-        and record.revision < revision
+        for record in unlisted_records(log, set(keys), prefix)
+        if record.revision < revision
     ]
     return apply_records(mesh_state, deletions, now)
 
@@ -264,42 +226,6 @@
     return expired
 
 
-def records_after(mesh_state: MeshState, revision: int) -> list[Record]:
-    """List the records changed after a revision, including tombstones.
-
-    For revision 0, list all records except tombstones.
-    """
-    return [
-        record
-        for record in mesh_state.records.values()
-        if record.revision > revision and (revision or record.body is not None)
-    ]
-
-
-def large_versions(mesh_state: MeshState) -> frozenset[int]:
-    """Return the revisions of all known versions of large records."""
-    replaced = chain.from_iterable(mesh_state.replaced.values())
-    return frozenset(
-        record.revision
-        for record in chain(mesh_state.records.values(), replaced)
-        if len(record.body or b'') >= LARGE_RECORD_BYTES
-    )
-
-
-def find_version(
-    mesh_state: MeshState, key: str, revisions: Container[int]
-) -> Record | None:
-    """Find the latest version of a record that has one of the revisions."""
-    versions = list(mesh_state.replaced.get(key, ()))
-    current = mesh_state.records.get(key)
-    if current is not None:
-        versions.append(current)
-    for version in reversed(versions):
-        if version.revision in revisions:
-            return version
-    return None
-
-
 def is_usable(mesh_state: MeshState, entry: TargetEntry) -> bool:
     """Return whether new requests may be sent to a target."""
     return (
@@ -333,7 +259,9 @@
     a held target is its deletion, whose revision doesn't tell when its entry
     was published; held targets therefore come before all others.
     """
-    return key not in mesh_state.held_until, mesh_state.records[key].revision
+    return key not in mesh_state.held_until, mesh_state.records.by_key[
+        key
+    ].revision
 
 
 def _find_superseded(mesh_state: MeshState) -> set[str]:
@@ -349,19 +277,6 @@
     }
 
 
-def _note_forgotten(mesh_state: MeshState, prefix: str, revision: int) -> None:
-    known = mesh_state.forgotten.get(prefix, 0)
-    mesh_state.forgotten[prefix] = max(known, revision)
-
-
-def _keep_replaced(mesh_state: MeshState, record: Record) -> None:
-    if len(record.body or b'') >= LARGE_RECORD_BYTES:
-        versions = mesh_state.replaced.setdefault(record.key, [])
-        versions.append(record)
-        if len(versions) > REPLACED_VERSIONS:
-            versions.pop(0)
-
-
 def _apply_record(mesh_state: MeshState, record: Record, now: float) -> None:
     if record.body is None:
         _delete_record(mesh_state, record.key, now)
@@ -398,15 +313,3 @@
     for data_centre, record_key in list(mesh_state.excluded.items()):
         if record_key == key:
             mesh_state.excluded.pop(data_centre)
-
-
-def _prune_tombstones(mesh_state: MeshState) -> None:
-    tombstones = [
-        record for record in mesh_state.records.values() if record.body is None
-    ]
-    excess = len(tombstones) - MAX_TOMBSTONES
-    if excess > 0:
-        tombstones.sort(key=lambda record: record.revision)
-        for record in tombstones[:excess]:
-            mesh_state.records.pop(record.key)
-            _note_forgotten(mesh_state, '', record.revision)
--- a/marjoramlead/platform/decoding.py
+++ b/marjoramlead/platform/decoding.py
@@ -17,7 +17,6 @@
 from marjoramlead.mesh_state import (
     DecodedRecord,
     ExcludedDataCentre,
-    Record,
     TargetEntry,
 )
 from marjoramlead.platform.names import (
@@ -25,6 +24,7 @@
     EVACUATION_PREFIX,
     TARGET_PREFIX,
 )
+from marjoramlead.record_log import Record
 from marjoramlead.routes import (
     ClientLimits,
     RetryPolicy,
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -13,9 +13,9 @@
 from marjoramlead.deadlines import TimedWait
 from marjoramlead.errors import Fault
 from marjoramlead.events import emit
-from marjoramlead.mesh_state import Record
 from marjoramlead.metrics import Metrics, traffic_counter
 from marjoramlead.platform.names import OPERATOR_PREFIX, TARGET_PREFIX
+from marjoramlead.record_log import Record
 from marjoramlead.store_watcher import StoreUpdate
 from marjoramlead.upstream import (
     Connect,
--- /dev/null
+++ b/marjoramlead/record_log.py
@@ -0,0 +1,151 @@
+"""Records of the store, with what is needed to pass changes on to other nodes.
+
+A record replaces one with the same key only if its revision is higher. A
+deleted record stays as a tombstone, so that nodes that request the changes
+since a revision learn of deletions. Some replaced versions of large records
+are kept, since nodes send each other differences to them.
+"""
+
+from collections.abc import Collection, Container, Iterator
+from dataclasses import dataclass, field
+from itertools import chain
+from typing import Final, NamedTuple
+
+__all__ = (
+    'Record',
+    'RecordLog',
+    'find_version',
+    'large_versions',
+    'note_forgotten',
+    'put_record',
+    'records_after',
+    'unlisted_records',
+)
+
+# The oldest tombstones beyond this number are dropped.
+MAX_TOMBSTONES: Final = 500
+# Records of at least this size are sent between nodes as differences.
+LARGE_RECORD_BYTES: Final = 4096
+REPLACED_VERSIONS: Final = 6
+
+
+class Record(NamedTuple):
+    """An item of the store.
+
+    Attributes
+    ----------
+    body
+        Content of the item; None if it was deleted. A record without a body
+        is a tombstone.
+    revision
+        Revision of the store at the last change of the item.
+    """
+
+    key: str
+    body: bytes | None
+    revision: int
+
+
+@dataclass(slots=True)
+class RecordLog:
+    """The records known to a node.
+
+    Attributes
+    ----------
+    by_key
+        Latest record of each key, including tombstones.
+    replaced
+        Replaced versions of each large record, the oldest first.
+    forgotten
+        For prefixes of keys, the revision up to which tombstones may be
+        missing.
+    """
+
+    by_key: dict[str, Record] = field(default_factory=dict)
+    replaced: dict[str, list[Record]] = field(default_factory=dict)
+    forgotten: dict[str, int] = field(default_factory=dict)
+
+
+def put_record(log: RecordLog, record: Record) -> bool:
+    """Add a record unless a newer one is known; return whether it was added."""
+    current = log.by_key.get(record.key)
+    if current is not None:
+        if current.revision >= record.revision:
+            return False
+        _keep_replaced(log, current)
+    log.by_key[record.key] = record
+    if record.body is None:
+        _prune_tombstones(log)
+    return True
+
+
+def records_after(log: RecordLog, revision: int) -> list[Record]:
+    """List the records changed after a revision, including tombstones.
+
+    For revision 0, list all records except tombstones.
+    """
+    return [
+        record
+        for record in log.by_key.values()
+        if record.revision > revision and (revision or record.body is not None)
+    ]
+
+
+def unlisted_records(
+    log: RecordLog, keys: Collection[str], prefix: str
+) -> Iterator[Record]:
+    """Yield the records with a prefix that are missing from a list of keys."""
+    for record in log.by_key.values():
+        is_listed = record.key in keys or not record.key.startswith(prefix)
+        if record.body is not None and not is_listed:
+            yield record
+
+
+def note_forgotten(log: RecordLog, prefix: str, revision: int) -> None:
+    """Note that tombstones up to a revision may be missing."""
+    known = log.forgotten.get(prefix, 0)
+    log.forgotten[prefix] = max(known, revision)
+
+
+def large_versions(log: RecordLog) -> frozenset[int]:
+    """Return the revisions of all known versions of large records."""
+    replaced = chain.from_iterable(log.replaced.values())
+    return frozenset(
+        record.revision
+        for record in chain(log.by_key.values(), replaced)
+        if len(record.body or b'') >= LARGE_RECORD_BYTES
+    )
+
+
+def find_version(
+    log: RecordLog, key: str, revisions: Container[int]
+) -> Record | None:
+    """Find the latest version of a record that has one of the revisions."""
+    versions = list(log.replaced.get(key, ()))
+    current = log.by_key.get(key)
+    if current is not None:
+        versions.append(current)
+    for version in reversed(versions):
+        if version.revision in revisions:
+            return version
+    return None
+
+
+def _keep_replaced(log: RecordLog, record: Record) -> None:
+    if len(record.body or b'') >= LARGE_RECORD_BYTES:
+        versions = log.replaced.setdefault(record.key, [])
+        versions.append(record)
+        if len(versions) > REPLACED_VERSIONS:
+            versions.pop(0)
+
+
+def _prune_tombstones(log: RecordLog) -> None:
+    tombstones = [
+        record for record in log.by_key.values() if record.body is None
+    ]
+    excess = len(tombstones) - MAX_TOMBSTONES
+    if excess > 0:
+        tombstones.sort(key=lambda record: record.revision)
+        for record in tombstones[:excess]:
+            log.by_key.pop(record.key)
+            note_forgotten(log, '', record.revision)
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -26,11 +26,11 @@
 from marjoramlead.generated.hop_types import FeedDocument
 from marjoramlead.mesh_state import (
     MeshState,
-    Record,
     apply_records,
     confirm_revision,
     remove_unlisted,
 )
+from marjoramlead.record_log import Record
 
 __all__ = (
     'Store',
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -5,8 +5,9 @@
 import pytest
 
 from marjoramlead.address import parse_address
-from marjoramlead.mesh_state import ExcludedDataCentre, Record, TargetEntry
+from marjoramlead.mesh_state import ExcludedDataCentre, TargetEntry
 from marjoramlead.platform.decoding import decode_record, parse_duration
+from marjoramlead.record_log import Record
 from marjoramlead.routes import RoutingTable, WeightedService, find_route
 from tests.platform_mesh import config, route
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -15,12 +15,12 @@
 from marjoramlead.lifecycle import drain_sidecar
 from marjoramlead.mesh_state import (
     MeshState,
-    Record,
     apply_records,
     confirm_revision,
     remove_unlisted,
 )
 from marjoramlead.platform.decoding import decode_record
+from marjoramlead.record_log import Record
 from standins.platform_store import delete, put
 from tests.platform_mesh import INBOUND, STORE, config, ready_mesh, route
 
@@ -205,7 +205,7 @@
     confirm_revision(sender, 6, 0)
     assert send_feed(sender, receiver) < 1000
     assert receiver.table.version == 3
-    assert receiver.records['op/config'].body == texts[2]
+    assert receiver.records.by_key['op/config'].body == texts[2]
 
 
 def test_versions_read_from_the_store_meanwhile_keep_differences_small():
@@ -219,7 +219,7 @@
     sender = mesh_state_with(common, Record('op/config', texts[3], 6))
     confirm_revision(sender, 6, 0)
     assert send_feed(sender, receiver) < 1000
-    assert receiver.records['op/config'].body == texts[3]
+    assert receiver.records.by_key['op/config'].body == texts[3]
 
 
 def test_data_of_a_node_that_knows_less_confirms_nothing():
@@ -263,14 +263,16 @@
     mesh.advance(IN_FORCE_S)
     expected = {
         key: record.body
-        for key, record in mesh.hosts[0].sidecar.mesh_state.records.items()
+        for key, record in mesh.hosts[
+            0
+        ].sidecar.mesh_state.records.by_key.items()
         if record.body is not None
     }
     assert set(expected) == set(mesh.store.records)
     for host in mesh.hosts:
         bodies = {
             key: record.body
-            for key, record in host.sidecar.mesh_state.records.items()
+            for key, record in host.sidecar.mesh_state.records.by_key.items()
             if record.body is not None
         }
         assert bodies == expected
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -6,15 +6,14 @@
 from marjoramlead.mesh_state import (
     ExcludedDataCentre,
     MeshState,
-    Record,
     TargetEntry,
     apply_records,
     expire_held_targets,
     find_target_by_address,
     is_usable,
-    records_after,
     remove_unlisted,
 )
+from marjoramlead.record_log import Record, records_after
 
 
 def decode(record, now):
@@ -64,7 +63,7 @@
     apply_records(source, published, 1000)
     lagging = MeshState(decode)
     apply_records(lagging, published[:split], 1000)
-    changes = records_after(source, min(split, len(published)))
+    changes = records_after(source.records, min(split, len(published)))
     apply_records(lagging, changes, 1000)
     assert summary(lagging) == summary(source)
 
