A reader that loses the store follows another reader

A node whose call to the store fails now follows the reader of another data centre.

A contact through a peer also counted as the end of an outage each time, which held deleted entries for two seconds although the store was up. An outage is now a gap of two seconds between confirmations, whatever their source.

test_reader_that_the_store_refuses_follows_another_one and test_deletion_is_not_held_while_the_store_refuses_one_node failed before.

--- a/marjoramlead/feed_client.py
+++ b/marjoramlead/feed_client.py
@@ -111,7 +111,7 @@
         return []
     revision = document['revision']
     if revision >= mesh_state.revision:
-        confirm_revision(mesh_state, revision, now - document['age_s'])
+        confirm_revision(mesh_state, revision, now - document['age_s'], now)
     changed = apply_records(mesh_state, decoded.ok, now)
     for listing in document.get('listings', []):
         keys, prefix = listing['keys'], listing['prefix']
--- a/marjoramlead/feed_tree.py
+++ b/marjoramlead/feed_tree.py
@@ -3,24 +3,41 @@
 The nodes of a data centre are ranked by rendezvous hashing. The first one reads
 the store; every other node follows a node of a lower rank, so that reads of
 the store don't grow with the number of nodes. All nodes rank alike without
-communication, and a node that loses its parents reads the store itself.
+communication. A node that loses its parent reads the store itself and follows
+a reader of another data centre; so does a reader that loses the store.
 """
 
 from collections.abc import Collection, Mapping
-from typing import Final
+from typing import Final, NamedTuple
 
 from marjoramlead.readers import rank_hosts
 
-__all__ = ('choose_parents',)
+__all__ = ('FeedSources', 'choose_sources')
 
 # Followers of one node. Each costs about two small requests a second.
 FAN_OUT: Final = 8
 
 
-def choose_parents(
+class FeedSources(NamedTuple):
+    """Hosts whose nodes a node may read.
+
+    Attributes
+    ----------
+    parent
+        Host of the node to follow; None if the node reads the store.
+    alternates
+        Hosts to follow if the parent or the store fails, the preferred one
+        first.
+    """
+
+    parent: str | None
+    alternates: list[str]
+
+
+def choose_sources(
     host: str, data_centre: str, hosts: Mapping[str, Collection[str]]
-) -> list[str]:
-    """Return the hosts that a node may follow, the preferred one first.
+) -> FeedSources:
+    """Choose the nodes that a node may read.
 
     Parameters
     ----------
@@ -30,28 +47,29 @@
         Data centre of the node.
     hosts
         Hosts of each data centre.
-
-    Returns
-    -------
-    A host of the same data centre, and another one in case it fails; none if
-    the node reads the store.
     """
     ranked = rank_hosts(data_centre, {host, *hosts.get(data_centre, ())})
     rank = ranked.index(host)
+    alternates = _readers_elsewhere(data_centre, hosts)
     if not rank:
-        return []
+        return FeedSources(None, alternates)
     parent = (rank - 1) // FAN_OUT
     if parent:
-        return [ranked[parent], ranked[parent - 1]]
-    return [ranked[0], *_reader_elsewhere(data_centre, hosts)]
+        alternates.insert(0, ranked[parent - 1])
+    return FeedSources(ranked[parent], alternates)
 
 
-def _reader_elsewhere(
+def _readers_elsewhere(
     data_centre: str, hosts: Mapping[str, Collection[str]]
 ) -> list[str]:
-    """Return the reader of the next data centre that has hosts."""
-    names = sorted(name for name in hosts if hosts[name] or name == data_centre)
-    if data_centre not in names or len(names) == 1:
-        return []
-    following = names[(names.index(data_centre) + 1) % len(names)]
-    return rank_hosts(following, hosts[following])[:1]
+    """Return the readers of the other data centres.
+
+    They are in the order of the names that follow this data centre's, so that
+    the nodes of different data centres turn to different readers.
+    """
+    others = sorted(
+        (name <= data_centre, name)
+        for name in hosts
+        if name != data_centre and hosts[name]
+    )
+    return [rank_hosts(name, hosts[name])[0] for _wraps, name in others]
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
+from math import isfinite
 from typing import Final, NamedTuple
 
 from marjoramlead.record_log import (
@@ -37,6 +38,9 @@
 # Targets whose entries expired during an outage of the store register again
 # within about two seconds of its return.
 REREGISTRATION_GRACE_S: Final = 2.0
+# A gap between confirmations that counts as an outage. Entries of live targets
+# expire after three seconds or more without the store.
+MIN_OUTAGE_S: Final = 2.0
 
 
 class TargetEntry(NamedTuple):
@@ -100,9 +104,8 @@
     confirmed_at
         When ``revision`` was last known to be the newest.
     reconnected_at
-        When contact with the store, or with a peer that reaches it, was last
-        restored. It must be set before records that arrive afterwards are
-        applied.
+        When contact with the store, or with a node that reaches it, was last
+        restored after an outage.
     held_until
         Record keys of targets whose entries expired during an outage of the
         store, with the time until which these targets stay in use.
@@ -188,10 +191,13 @@
 
 
 def confirm_revision(
-    mesh_state: MeshState, revision: int, confirmed_at: float
+    mesh_state: MeshState, revision: int, confirmed_at: float, now: float
 ) -> None:
     """Record that all changes up to a revision are known.
 
+    Call this before the changes are applied, because deletions are treated
+    differently after an outage.
+
     Parameters
     ----------
     mesh_state
@@ -201,7 +207,12 @@
     confirmed_at
         When this revision was known to be the newest, on the node's
         monotonic clock.
+    now
+        Current time on the same clock.
     """
+    gap = confirmed_at - mesh_state.confirmed_at
+    if isfinite(gap) and gap > MIN_OUTAGE_S:
+        mesh_state.reconnected_at = now
     mesh_state.revision = max(mesh_state.revision, revision)
     mesh_state.confirmed_at = max(mesh_state.confirmed_at, confirmed_at)
 
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -14,7 +14,7 @@
 from marjoramlead.dispatch import Dispatcher
 from marjoramlead.feed_client import FeedClient
 from marjoramlead.feed_server import FeedServer, answer_waiting_reads
-from marjoramlead.feed_tree import choose_parents
+from marjoramlead.feed_tree import choose_sources
 from marjoramlead.header_names import HeaderNames
 from marjoramlead.hop_client import HopClient
 from marjoramlead.ledger import AttemptLedger
@@ -25,6 +25,7 @@
 from marjoramlead.routes import RoundRobinState
 from marjoramlead.sidecar_config import SidecarConfig
 from marjoramlead.store_watcher import (
+    FeedAddresses,
     Store,
     StoreWatcher,
     note_reported_revision,
@@ -125,7 +126,7 @@
         mesh_state,
         adapter.make_store(metrics),
         FeedClient(reactor, metrics, connect),
-        lambda: _parent_addresses(sidecar),
+        lambda: _feed_sources(sidecar),
         lambda: _peer_addresses(sidecar),
         lambda: apply_mesh_changes(sidecar),
         lambda: answer_waiting_reads(sidecar.feed_server),
@@ -177,14 +178,16 @@
     return addresses or list(sidecar.config.seeds)
 
 
-def _parent_addresses(sidecar: Sidecar) -> list[Address]:
-    """Return the nodes to follow; none if this node reads the store."""
+def _feed_sources(sidecar: Sidecar) -> FeedAddresses:
     hosts: defaultdict[str, set[str]] = defaultdict(set)
     for entry in sidecar.mesh_state.targets.values():
         hosts[entry.data_centre].add(entry.address[0])
     own_host, port = sidecar.config.inbound
-    parents = choose_parents(own_host, sidecar.config.data_centre, hosts)
-    return [(parent, port) for parent in parents]
+    sources = choose_sources(own_host, sidecar.config.data_centre, hosts)
+    alternates = [(host, port) for host in sources.alternates]
+    if sources.parent is None:
+        return FeedAddresses(None, alternates)
+    return FeedAddresses((sources.parent, port), alternates)
 
 
 def apply_mesh_changes(sidecar: Sidecar) -> None:
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -33,6 +33,7 @@
 from marjoramlead.record_log import Record
 
 __all__ = (
+    'FeedAddresses',
     'Store',
     'StoreUpdate',
     'StoreWatcher',
@@ -62,8 +63,6 @@
 PARENT_BACKOFF_S: Final = 2.0
 # Versions within this time of each other count as quick succession.
 RAPID_CHANGES_S: Final = 2.0
-# After an outage longer than this, the store may lack entries of live targets.
-MIN_OUTAGE_S: Final = 1.0
 # Backoff between attempts to reach the store: shortest first delay, and longest
 # delay. Each delay is random within a factor of two.
 BACKOFF_FIRST_S: Final = 0.15
@@ -114,6 +113,21 @@
         """Read the changes after a revision without replaced versions."""
 
 
+class FeedAddresses(NamedTuple):
+    """Nodes whose records a node may read.
+
+    Attributes
+    ----------
+    parent
+        Node to follow; None if this node reads the store.
+    alternates
+        Nodes to follow if the parent or the store fails.
+    """
+
+    parent: Address | None
+    alternates: list[Address]
+
+
 @dataclass(slots=True)
 class StoreWatcher:
     """Progress of this node in learning the store's records.
@@ -122,9 +136,8 @@
     ----------
     feed_client
         Reads the records of other nodes.
-    parent_addresses
-        Returns the nodes that this node may follow, the preferred one first;
-        none if it reads the store.
+    feed_sources
+        Returns the nodes whose records this node may read.
     peer_addresses
         Returns the addresses of all other nodes.
     on_change
@@ -136,8 +149,6 @@
         be listed.
     failures
         Number of consecutive failed calls to the store.
-    failing_since
-        Time of the first of these failures.
     is_querying_peer
         Whether a query to a peer is in progress.
     is_routing_changing
@@ -152,7 +163,7 @@
     mesh_state: MeshState
     store: Store
     feed_client: FeedClient
-    parent_addresses: Callable[[], list[Address]]
+    feed_sources: Callable[[], FeedAddresses]
     peer_addresses: Callable[[], list[Address]]
     on_change: Callable[[], None]
     on_confirm: Callable[[], None]
@@ -160,7 +171,6 @@
     rng: Random
     after: int = 0
     failures: int = 0
-    failing_since: float = 0
     is_querying_peer: bool = False
     is_routing_changing: bool = False
     avoided_until: dict[Address, float] = field(default_factory=dict)
@@ -207,13 +217,20 @@
 
 
 def _choose_parent(watcher: StoreWatcher) -> Address | None:
-    """Return the parent to read next, or None to read the store."""
-    if not watcher.after:
+    """Return the node to read next, or None to read the store."""
+    parent, alternates = watcher.feed_sources()
+    if parent is None or not watcher.after:
         return None
+    return _first_usable(watcher, [parent, *alternates])
+
+
+def _first_usable(
+    watcher: StoreWatcher, addresses: list[Address]
+) -> Address | None:
     now = watcher.reactor.seconds()
-    for parent in watcher.parent_addresses():
-        if watcher.avoided_until.get(parent, 0) <= now:
-            return parent
+    for address in addresses:
+        if watcher.avoided_until.get(address, 0) <= now:
+            return address
     return None
 
 
@@ -231,7 +248,6 @@
         emit('parent_lost', parent=parent[0], age_ms=_age_ms(watcher, now))
         return False
     _note_origin(watcher, parent[0])
-    _note_contact(watcher, now)
     elapsed = now - started_at
     if elapsed < MIN_FOLLOW_INTERVAL_S:
         await _sleep(watcher.reactor, MIN_FOLLOW_INTERVAL_S - elapsed)
@@ -271,8 +287,10 @@
 
 def _apply_update(watcher: StoreWatcher, update: StoreUpdate) -> None:
     now = watcher.reactor.seconds()
-    _note_contact(watcher, now)
-    confirm_revision(watcher.mesh_state, update.revision, now)
+    if watcher.failures:
+        emit('store_regained', failures=watcher.failures)
+    watcher.failures = 0
+    confirm_revision(watcher.mesh_state, update.revision, now, now)
     changed = apply_records(watcher.mesh_state, update.records, now)
     if update.listed_prefix is not None:
         keys = [record.key for record in update.records]
@@ -287,16 +305,6 @@
     _log_and_notify(watcher, changed, 'store')
 
 
-def _note_contact(watcher: StoreWatcher, now: float) -> None:
-    """End an outage of the store, reached directly or through a parent."""
-    if not watcher.failures:
-        return
-    emit('store_regained', failures=watcher.failures)
-    if now > watcher.failing_since + MIN_OUTAGE_S:
-        watcher.mesh_state.reconnected_at = now
-    watcher.failures = 0
-
-
 def _note_origin(watcher: StoreWatcher, origin: str) -> None:
     if watcher.origin != origin:
         watcher.origin = origin
@@ -309,13 +317,15 @@
         watcher.after = 0
         return
     if not watcher.failures:
-        watcher.failing_since = watcher.reactor.seconds()
         emit(
             'store_lost',
             reason=fault.reason,
             revision=watcher.mesh_state.revision,
         )
     watcher.failures += 1
+    alternate = _first_usable(watcher, watcher.feed_sources().alternates)
+    if watcher.after and alternate and await _follow(watcher, alternate):
+        return
     _start_peer_query(watcher)
     max_delay = min(BACKOFF_MAX_S, BACKOFF_FIRST_S * 2**watcher.failures)
     await _sleep(watcher.reactor, watcher.rng.uniform(max_delay / 2, max_delay))
@@ -351,8 +361,6 @@
     watcher: StoreWatcher, document: FeedDocument, origin: str
 ) -> None:
     now = watcher.reactor.seconds()
-    if watcher.failures:
-        watcher.mesh_state.reconnected_at = now
     changed = apply_feed(watcher.mesh_state, document, now)
     if watcher.after:
         watcher.after = max(watcher.after, watcher.mesh_state.revision)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -10,7 +10,7 @@
 
 from marjoramlead.errors import Fault
 from marjoramlead.feed_client import apply_feed
-from marjoramlead.feed_tree import choose_parents
+from marjoramlead.feed_tree import choose_sources
 from marjoramlead.feeds import decode_feed, encode_feed, feed_query
 from marjoramlead.lifecycle import drain_sidecar
 from marjoramlead.mesh_state import (
@@ -38,11 +38,13 @@
 
 def readers(mesh):
     """Return the hosts that read the store."""
-    return [host for host in mesh.hosts if not parents(host)]
+    return [host for host in mesh.hosts if parent(host) is None]
 
 
-def parents(host):
-    return host.sidecar.store_watcher.parent_addresses()
+def parent(host):
+    """Return the host that a node follows, or None."""
+    address = host.sidecar.store_watcher.feed_sources().parent
+    return address[0] if address else None
 
 
 def versions(mesh):
@@ -126,15 +128,41 @@
     assert {host.sidecar.mesh_state.table.version for host in followers} == {2}
 
 
+def test_reader_that_the_store_refuses_follows_another_one(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        'marjoramlead.store_watcher.emit',
+        lambda kind, **_fields: logged.append(kind),
+    )
+    mesh = fleet()
+    logged.clear()
+    refuse_calls(readers(mesh)[0].sidecar.store_watcher.store)
+    for version in range(2, 8):
+        mesh.configure(version)
+        mesh.advance(IN_FORCE_S)
+        assert versions(mesh) == {version}
+    assert 'store_lost' in logged
+    assert 'parent_lost' not in logged
+
+
+def test_deletion_is_not_held_while_the_store_refuses_one_node():
+    mesh = fleet()
+    refused = readers(mesh)[0]
+    refuse_calls(refused.sidecar.store_watcher.store)
+    mesh.advance(3)
+    gone = next(host for host in mesh.hosts if host is not refused)
+    mesh.withdraw(gone)
+    mesh.advance(1)
+    key = f'servers/{gone.target.target_id}'
+    for host in mesh.hosts:
+        assert key not in host.sidecar.mesh_state.targets
+
+
 def test_follower_reads_the_store_over_a_new_connection():
     mesh = fleet()
     mesh.advance(3)
     reader = readers(mesh)[0]
-    followers = [
-        host
-        for host in mesh.hosts
-        if (reader.address, INBOUND) in parents(host)[:1]
-    ]
+    followers = [host for host in mesh.hosts if parent(host) == reader.address]
     mesh.net.silence(STORE)
     mesh.configure(2)
     crash(mesh, reader)
@@ -181,10 +209,10 @@
 
 def test_deletion_is_learnt_from_a_node_that_started_after_it():
     receiver = mesh_state_with(Record('op/evacuate/b', b'{}', 5))
-    confirm_revision(receiver, 5, 0)
+    confirm_revision(receiver, 5, 0, 0)
     sender = mesh_state_with()
     remove_unlisted(sender, [], 9, 0)
-    confirm_revision(sender, 9, 0)
+    confirm_revision(sender, 9, 0, 0)
     send_feed(sender, receiver)
     assert not receiver.excluded
     assert receiver.revision == 9
@@ -196,13 +224,13 @@
         for version in (1, 2, 3)
     ]
     receiver = mesh_state_with(Record('op/config', texts[0], 2))
-    confirm_revision(receiver, 2, 0)
+    confirm_revision(receiver, 2, 0, 0)
     sender = mesh_state_with(Record('op/config', texts[1], 4))
-    confirm_revision(sender, 4, 0)
+    confirm_revision(sender, 4, 0, 0)
     assert send_feed(sender, receiver) > len(texts[1])
     assert receiver.table.version == 2
     apply_records(sender, [Record('op/config', texts[2], 6)], 0)
-    confirm_revision(sender, 6, 0)
+    confirm_revision(sender, 6, 0, 0)
     assert send_feed(sender, receiver) < 1000
     assert receiver.table.version == 3
     assert receiver.records.by_key['op/config'].body == texts[2]
@@ -215,18 +243,18 @@
     ]
     common = Record('op/config', texts[0], 2)
     receiver = mesh_state_with(common, Record('op/config', texts[1], 4))
-    confirm_revision(receiver, 4, 0)
+    confirm_revision(receiver, 4, 0, 0)
     sender = mesh_state_with(common, Record('op/config', texts[3], 6))
-    confirm_revision(sender, 6, 0)
+    confirm_revision(sender, 6, 0, 0)
     assert send_feed(sender, receiver) < 1000
     assert receiver.records.by_key['op/config'].body == texts[3]
 
 
 def test_data_of_a_node_that_knows_less_confirms_nothing():
     receiver = mesh_state_with()
-    confirm_revision(receiver, 9, 0)
+    confirm_revision(receiver, 9, 0, 0)
     sender = mesh_state_with()
-    confirm_revision(sender, 8, 5)
+    confirm_revision(sender, 8, 5, 5)
     document = decode_feed(encode_feed(sender, feed_query(receiver, 0), 5)).ok
     apply_feed(receiver, document, 5)
     assert (receiver.revision, receiver.confirmed_at) == (9, 0)
@@ -286,20 +314,22 @@
             f'10.0.{number // 250}.{number % 250}' for number in range(count)
         ],
         'b': ['10.1.0.1'],
+        'c': ['10.2.0.1', '10.2.0.2'],
     }
-    preferred = {host: choose_parents(host, 'a', hosts) for host in hosts['a']}
-    roots = [host for host, chosen in preferred.items() if not chosen]
+    sources = {host: choose_sources(host, 'a', hosts) for host in hosts['a']}
+    roots = [host for host in hosts['a'] if sources[host].parent is None]
     assert len(roots) == 1
-    depths = [_depth(preferred, host) for host in hosts['a']]
-    assert max(depths) <= 4
-    for host, chosen in preferred.items():
-        assert host not in chosen
-        assert len(set(chosen)) == (0 if host in roots else 2)
+    assert max(_depth(sources, host) for host in hosts['a']) <= 4
+    for host, chosen in sources.items():
+        followed = [chosen.parent, *chosen.alternates]
+        assert host not in followed
+        assert len(set(followed)) == len(followed)
+        assert len(followed) >= 3
 
 
-def _depth(preferred, host):
+def _depth(sources, host):
     depth = 0
-    while preferred[host]:
-        host = preferred[host][0]
+    while sources[host].parent is not None:
+        host = sources[host].parent
         depth += 1
     return depth
