Stop offering a request once three targets expect to answer too late

A request that could not be served was offered to up to eight targets, each of which estimated its queue and refused, and came back to do so again. Targets are ranked by their expected response, so that after three such answers further ones cost more than they find. test_request_of_an_overloaded_service_is_offered_to_few_targets failed before.

--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -45,6 +45,10 @@
 # Maximum number of offers of one request. Each takes about a millisecond;
 # after this many refusals the service is considered full.
 MAX_OFFERS: Final = 8
+# Number of targets that may refuse a request because they expect to answer too
+# late. Further targets are ranked as slower, and under overload the offers to
+# them would take more processor time than the requests that are served.
+MAX_OVERLOAD_REFUSALS: Final = 3
 # Retry-After value if no target has reported when it expects a free slot.
 DEFAULT_RETRY_AFTER_S: Final = 0.2
 # Minimum time left for a retry. One with less time cannot be answered before
@@ -56,6 +60,8 @@
 TRANSIENT_REASONS: Final = frozenset(
     (Reason.NO_ROOM, Reason.NEVER_SEEN),
 )
+# Refusal reasons of a target that expects to answer too late.
+OVERLOAD_REASONS: Final = frozenset((Reason.OVERLOAD, Reason.COLD))
 
 
 class Request(NamedTuple):
@@ -114,6 +120,8 @@
         Number of attempts in which a target ran or may have run the request.
     offers
         Number of offers made so far.
+    overload_refusals
+        Number of targets that expected to answer too late.
     offered_ids
         Ids of the targets that have been offered the request.
     excluded_ids
@@ -131,6 +139,7 @@
     has_reached_target: bool = False
     possible_runs: int = 0
     offers: int = 0
+    overload_refusals: int = 0
     offered_ids: set[str] = field(default_factory=set)
     excluded_ids: set[str] = field(default_factory=set)
     last_reply: Reply | None = None
@@ -165,7 +174,7 @@
 ) -> TargetEntry | None:
     """Return the target of the next offer, or None if no offer is left."""
     now = dispatcher.reactor.seconds()
-    if now >= request.deadline or attempts.offers >= MAX_OFFERS:
+    if now >= request.deadline or _has_been_offered_enough(attempts):
         return None
     mesh_state = dispatcher.mesh_state
     usable = [
@@ -185,6 +194,13 @@
     return ranked[0] if ranked else None
 
 
+def _has_been_offered_enough(attempts: _Attempts) -> bool:
+    return (
+        attempts.offers >= MAX_OFFERS
+        or attempts.overload_refusals >= MAX_OVERLOAD_REFUSALS
+    )
+
+
 async def _offer_to_target(
     dispatcher: Dispatcher,
     request: Request,
@@ -295,6 +311,7 @@
     attempts.has_reached_target |= outcome.reached_target
     if outcome.retry_after:
         attempts.retry_after.append(outcome.retry_after)
+    attempts.overload_refusals += outcome.reason in OVERLOAD_REASONS
     if outcome.reason not in TRANSIENT_REASONS:
         attempts.excluded_ids.add(target.target_id)
     if outcome.verdict is not Verdict.NOT_RUN:
--- a/tests/test_platform_mesh.py
+++ b/tests/test_platform_mesh.py
@@ -113,6 +113,24 @@
     assert overload_offers._value.get() == count + 1
 
 
+def test_request_of_an_overloaded_service_is_offered_to_few_targets():
+    mesh = ready_mesh(
+        *('web' for _host in range(8)), 'api', slots=1, work_s=0.3
+    )
+    sender = mesh.hosts[-1]
+    for duration_s in (0.5, 0.5, 0.5, 0.01):
+        for _target in range(8):
+            mesh.send(sender)
+        mesh.advance(duration_s)
+    offers = sender.sidecar.metrics.offers.labels('overload')
+    count = offers._value.get()
+    sent = mesh.send(sender, wait_ms=400)
+    mesh.advance(0.05)
+    assert sent.status == 503
+    assert sent.header(b'retry-after')
+    assert 1 <= offers._value.get() - count <= 3
+
+
 def test_refusal_is_immediate_and_has_retry_after():
     mesh = ready_mesh('web', slots=1)
     sent = [mesh.send(mesh.hosts[0], wait_ms=900) for _each in range(30)]
