--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -84,6 +84,9 @@
         Closes the port for other nodes; does nothing before it is open.
     loops
         Calls that run periodically.
+    feed_sources
+        Nodes whose records this node may read, as of the last change of
+        targets.
     """
 
     config: SidecarConfig
@@ -100,6 +103,9 @@
     next_reload_at: float = 0
     close_inbound: Callable[[], None] = _close_nothing
     loops: list[LoopingCall] = field(default_factory=list)
+    feed_sources: FeedAddresses = field(
+        default_factory=lambda: FeedAddresses(None, [])
+    )
 
 
 def build_sidecar(
@@ -126,7 +132,7 @@
         mesh_state,
         adapter.make_store(metrics),
         FeedClient(reactor, metrics, connect),
-        lambda: _feed_sources(sidecar),
+        lambda: sidecar.feed_sources,
         lambda: _peer_addresses(sidecar),
         lambda: apply_mesh_changes(sidecar),
         lambda: answer_waiting_reads(sidecar.feed_server),
@@ -191,8 +197,9 @@
 
 
 def apply_mesh_changes(sidecar: Sidecar) -> None:
-    """Bring the gate and the target statistics in line with the mesh state."""
+    """Bring what depends on the mesh state in line with it."""
     apply_target_entry(sidecar.gate)
+    sidecar.feed_sources = _feed_sources(sidecar)
     sidecar.dispatcher.balancer.discard_except(
         [entry.target_id for entry in sidecar.mesh_state.targets.values()],
     )
