--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -21,6 +21,7 @@
 )
 from marjoramlead.platform.decoding import decode_record
 from marjoramlead.record_log import Record
+from marjoramlead.store_watcher import WATCH_TIMEOUT_S
 from standins.platform_store import delete, put
 from tests.platform_mesh import INBOUND, STORE, config, ready_mesh, route
 
@@ -47,6 +48,10 @@
     return address[0] if address else None
 
 
+def followers_of(mesh, reader):
+    return [host for host in mesh.hosts if parent(host) == reader.address]
+
+
 def versions(mesh):
     return {host.sidecar.mesh_state.table.version for host in mesh.hosts}
 
@@ -72,6 +77,11 @@
     _replace_calls(store, silent)
 
 
+def hang_calls(store):
+    """Leave the calls of one node without an end."""
+    _replace_calls(store, lambda *_arguments: Deferred())
+
+
 def _replace_calls(store, call):
     for name in ('list_all', 'watch', 'read_latest'):
         setattr(store, name, call)
@@ -112,7 +122,7 @@
     assert versions(mesh) == {2}
 
 
-@pytest.mark.parametrize('fail', [refuse_calls, silence_calls])
+@pytest.mark.parametrize('fail', [refuse_calls, silence_calls, hang_calls])
 @pytest.mark.parametrize('moment_s', [0, 0.3, 0.6])
 def test_change_is_in_force_in_time_although_readers_lose_the_store(
     fail, moment_s
@@ -121,7 +131,7 @@
     mesh.advance(moment_s)
     for reader in readers(mesh):
         fail(reader.sidecar.store_watcher.store)
-    mesh.advance(0.1)
+    mesh.advance(WATCH_TIMEOUT_S)
     mesh.configure(2)
     mesh.advance(IN_FORCE_S)
     followers = [host for host in mesh.hosts if host not in readers(mesh)]
@@ -175,8 +185,11 @@
 def test_followers_leave_a_reader_that_shuts_down():
     mesh = fleet()
     reader = readers(mesh)[0]
+    followers = followers_of(mesh, reader)
     drain_sidecar(reader.sidecar)
-    mesh.advance(0.2)
+    mesh.advance(1)
+    for host in followers:
+        assert host.sidecar.store_watcher.origin != reader.address
     mesh.configure(2)
     mesh.advance(0.8)
     assert versions(mesh) == {2}
