--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -1,12 +1,13 @@
 """Keep the node's records current, from the store or from another node.
 
-A few nodes of each data centre read the store. Every other node follows one of
-them, or a node further down: it reads the records of its parent, which answers
-as soon as it has news or has confirmed that there are none. A node whose
-parents fail, or whose parents' data is too old, reads the store itself.
-
-A node also queries a peer if it cannot reach the store, or if another node
-reports a revision that it does not receive in time.
+One node of each data centre reads the store. Every other node follows that
+node, or one that does: it reads the records of its parent, which answers as
+soon as it has news or has confirmed that there are none. A node whose parent
+fails, or whose parent's data is too old, reads the store itself. A node that
+the store fails follows the reader of another data centre.
+
+A node queries a random peer if neither succeeds, or if another node reports a
+revision that it does not receive in time.
 """
 
 from collections.abc import Awaitable, Callable
