--- a/marjoramlead/feed_client.py
+++ b/marjoramlead/feed_client.py
@@ -4,9 +4,12 @@
 from http import HTTPStatus
 from typing import Final
 
+from expression import Error, Ok, Result
+
 from marjoramlead.address import Address
 from marjoramlead.clock import Clock
 from marjoramlead.deadlines import TimedWait
+from marjoramlead.errors import Fault
 from marjoramlead.events import emit
 from marjoramlead.feeds import (
     FeedQuery,
@@ -59,8 +62,8 @@
 
 async def read_feed(
     client: FeedClient, address: Address, query: FeedQuery
-) -> FeedDocument | None:
-    """Read the records of a node; return None if it doesn't respond.
+) -> Result[FeedDocument, Fault]:
+    """Read the records of a node.
 
     The connection is kept for further reads if this one may wait, as a
     follower's reads do. It is closed after a failure, because it may be
@@ -73,24 +76,22 @@
     wait = TimedWait(client.reactor, send(pool, outgoing))
     now = client.reactor.seconds()
     wait.add_deadline(now + query.wait_s + RESPONSE_TIMEOUT_S)
-    reply = _reply_body(await wait.result())
-    if reply is None or not query.wait_s:
+    body = _response_body(await wait.result())
+    if body.is_error() or not query.wait_s:
         close_idle(pool)
         client.pools.pop(address, None)
-    if reply is None:
-        return None
-    decoded = decode_feed(reply)
-    if decoded.is_error():
-        emit('hop_unreadable', why=decoded.error)
-        return None
-    return decoded.ok
+    return body.bind(decode_feed)
 
 
-def _reply_body(send_result: SendResult | None) -> bytes | None:
-    if send_result is None or send_result.is_error():
-        return None
+def _response_body(send_result: SendResult | None) -> Result[bytes, Fault]:
+    if send_result is None:
+        return Error(Fault('feed', 'no response in time'))
+    if send_result.is_error():
+        return Error(Fault('feed', send_result.error.reason.value))
     reply = send_result.ok
-    return reply.body if reply.status == HTTPStatus.OK else None
+    if reply.status != HTTPStatus.OK:
+        return Error(Fault('feed', f'status {reply.status}'))
+    return Ok(reply.body)
 
 
 def apply_feed(
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -239,14 +239,19 @@
     """Read a parent once; return whether this node is current afterwards."""
     started_at = watcher.reactor.seconds()
     query = feed_query(watcher.mesh_state, FOLLOW_WAIT_S)
-    document = await read_feed(watcher.feed_client, parent, query)
+    result = await read_feed(watcher.feed_client, parent, query)
+    if result.is_ok():
+        _apply_document(watcher, result.ok, parent[0])
     now = watcher.reactor.seconds()
-    if document is not None:
-        _apply_document(watcher, document, parent[0])
     age = now - watcher.mesh_state.confirmed_at
-    if document is None or age > MAX_FEED_AGE_S:
+    if result.is_error() or age > MAX_FEED_AGE_S:
         watcher.avoided_until[parent] = now + PARENT_BACKOFF_S
-        emit('parent_lost', parent=parent[0], age_ms=_age_ms(watcher, now))
+        emit(
+            'parent_lost',
+            parent=parent[0],
+            reason=result.error.reason if result.is_error() else 'old data',
+            age_ms=_age_ms(watcher, now),
+        )
         return False
     _note_origin(watcher, parent[0])
     elapsed = now - started_at
@@ -353,9 +358,11 @@
         return
     address = watcher.rng.choice(peer_addresses)
     query = feed_query(watcher.mesh_state, 0)
-    document = await read_feed(watcher.feed_client, address, query)
-    if document is not None:
-        _apply_document(watcher, document, address[0])
+    result = await read_feed(watcher.feed_client, address, query)
+    if result.is_ok():
+        _apply_document(watcher, result.ok, address[0])
+    else:
+        emit('peer_lost', peer=address[0], reason=result.error.reason)
 
 
 def _apply_document(
