--- a/tests/test_target_queue.py
+++ b/tests/test_target_queue.py
@@ -288,6 +288,27 @@
     assert admit(queue, call, 0, may_wait=True) is False
 
 
+def test_wait_that_urgent_requests_would_prolong_is_refused():
+    outcomes = []
+    for urgent_share in (0, 5):
+        queue = TargetQueue(slots=SLOTS)
+        now = 100.0
+        record_service_time(queue.statistics, 'r', 0.1)
+        for number in range(40):
+            priority = 0 if number % 6 < urgent_share else 1
+            entry = make_entry(number, now, priority=priority)
+            admit(queue, entry, now, may_wait=False)
+            now += 0.05
+            remove_running(queue, number)
+        for number in range(100, 100 + SLOTS):
+            admit(queue, make_entry(number, now), now, may_wait=False)
+        waiting = make_entry(200, now, objective=0.45)
+        outcomes.append(admit(queue, waiting, now, may_wait=True))
+    undisturbed, disturbed = outcomes
+    assert undisturbed is False
+    assert isinstance(disturbed, Refusal)
+
+
 def test_cold_target_starts_requests_at_its_cold_rate():
     queue = TargetQueue(slots=50)
     set_cold_rate(queue, 10, 11)
