--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -33,7 +33,7 @@
 # when it is slow.
 RESPONSE_TIMEOUT_S: Final = 0.6
 # Idle connections are not reused after this time. They may have gone silent,
-# and a node that turns to the store has lost its parent and is in a hurry.
+# and a node that has lost its parent cannot wait for a timeout.
 IDLE_TIMEOUT_S: Final = 1.0
 MS_PER_SECOND: Final = 1000
 MAX_PAGES: Final = 100
