Wording: long polls, deltas, compaction and intermediate versions

Comments and identifiers of the feed between nodes use the terms of the field. No change of behaviour; names on the wire, in logs and metrics stay.

--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -166,7 +166,7 @@
 
 
 def _refuse_unknown_route(mesh_state: MeshState, now: float) -> Refusal:
-    """Refuse for good only if the routing table is known to be current."""
+    """Answer 404 only if the routing table is known to be current."""
     is_behind = mesh_state.reported_revision > mesh_state.revision
     if is_behind or now > mesh_state.confirmed_at + MAX_TABLE_AGE_S:
         return Refusal(Reason.NOT_READY, Verdict.NOT_RUN)
--- a/marjoramlead/deltas.py
+++ b/marjoramlead/deltas.py
@@ -15,12 +15,12 @@
 
 # Boundary between two rows of a JSON list of lists.
 ROW_BOUNDARY: Final = re.compile(rb'(?<=\],)(?=\s*\[)')
-# Several receivers usually need the same difference at the same time.
+# Several followers usually need the same delta at the same time.
 CACHED_DELTAS: Final = 4
 
 
 class Edit(NamedTuple):
-    """A step in which a text is rebuilt from its base.
+    """One copy-and-insert instruction of a delta.
 
     Attributes
     ----------
--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -174,7 +174,7 @@
 ) -> TargetEntry | None:
     """Return the target of the next offer, or None if no offer is left."""
     now = dispatcher.reactor.seconds()
-    if now >= request.deadline or _has_been_offered_enough(attempts):
+    if now >= request.deadline or _are_offers_exhausted(attempts):
         return None
     mesh_state = dispatcher.mesh_state
     usable = [
@@ -194,7 +194,7 @@
     return ranked[0] if ranked else None
 
 
-def _has_been_offered_enough(attempts: _Attempts) -> bool:
+def _are_offers_exhausted(attempts: _Attempts) -> bool:
     return (
         attempts.offers >= MAX_OFFERS
         or attempts.overload_refusals >= MAX_OVERLOAD_REFUSALS
--- a/marjoramlead/feed_server.py
+++ b/marjoramlead/feed_server.py
@@ -1,7 +1,7 @@
 """Answer other nodes that read this node's records.
 
-A read that may wait is answered as soon as this node has news or has confirmed
-that there are none, so that its followers know how current they are.
+A long poll is answered as soon as this node has changes or has confirmed that
+there are none, so that its followers know how current they are.
 """
 
 from dataclasses import dataclass, field
@@ -20,13 +20,13 @@
 __all__ = (
     'FeedServer',
     'answer_feed_read',
-    'answer_waiting_reads',
+    'answer_pending_reads',
     'start_feed_drain',
 )
 
 
-class _WaitingRead(NamedTuple):
-    """A read that waits for news, and the timer that ends the wait."""
+class _PendingRead(NamedTuple):
+    """A long poll without an answer, and the timer that ends it."""
 
     query: FeedQuery
     timer: Timer
@@ -41,18 +41,18 @@
     is_draining
         Whether the node is shutting down. Reads are then refused, so that
         followers turn to another node.
-    waiting
-        Reads that wait for news.
+    pending
+        Long polls without an answer.
     """
 
     mesh_state: MeshState
     reactor: Clock
     is_draining: bool = False
-    waiting: dict[StreamRequest, _WaitingRead] = field(default_factory=dict)
+    pending: dict[StreamRequest, _PendingRead] = field(default_factory=dict)
 
 
 def answer_feed_read(server: FeedServer, req: StreamRequest) -> None:
-    """Answer a read, at once if there is news or it must not wait."""
+    """Answer a read, at once unless it is a long poll without changes."""
     decoded = decode_feed_query(req.uri)
     if decoded.is_error():
         emit('hop_unreadable', why=decoded.error)
@@ -61,38 +61,40 @@
         )
         return
     query = decoded.ok
-    has_news = server.mesh_state.revision > query.after
-    if has_news or server.is_draining or not query.wait_s:
+    has_changes = server.mesh_state.revision > query.after
+    if has_changes or server.is_draining or not query.wait_s:
         _send_feed(server, req, query)
         return
     timer = server.reactor.callLater(query.wait_s, _end_wait, server, req)
-    server.waiting[req] = _WaitingRead(query, timer)
-    req.notifyFinish().addErrback(lambda _gone: _forget(server, req))
+    server.pending[req] = _PendingRead(query, timer)
+    req.notifyFinish().addErrback(lambda _gone: _remove_pending(server, req))
 
 
-def answer_waiting_reads(server: FeedServer) -> None:
-    """Answer all waiting reads, because this node has confirmed its data."""
-    for req in list(server.waiting):
+def answer_pending_reads(server: FeedServer) -> None:
+    """Answer all pending reads, because this node has confirmed its data."""
+    for req in list(server.pending):
         _end_wait(server, req)
 
 
 def start_feed_drain(server: FeedServer) -> None:
     """Refuse all reads from now on."""
     server.is_draining = True
-    answer_waiting_reads(server)
+    answer_pending_reads(server)
 
 
 def _end_wait(server: FeedServer, req: StreamRequest) -> None:
-    waiting = _forget(server, req)
-    if waiting is not None:
-        _send_feed(server, req, waiting.query)
-
-
-def _forget(server: FeedServer, req: StreamRequest) -> _WaitingRead | None:
-    waiting = server.waiting.pop(req, None)
-    if waiting is not None and waiting.timer.active():
-        waiting.timer.cancel()
-    return waiting
+    pending = _remove_pending(server, req)
+    if pending is not None:
+        _send_feed(server, req, pending.query)
+
+
+def _remove_pending(
+    server: FeedServer, req: StreamRequest
+) -> _PendingRead | None:
+    pending = server.pending.pop(req, None)
+    if pending is not None and pending.timer.active():
+        pending.timer.cancel()
+    return pending
 
 
 def _send_feed(
--- a/marjoramlead/feeds.py
+++ b/marjoramlead/feeds.py
@@ -1,8 +1,9 @@
 """Messages with which nodes pass on records of the store.
 
 A node requests the records that have changed after a revision. Large texts are
-sent as the difference to a version that the receiver has. A read may wait
-until the sender has news, or has confirmed that there are none.
+sent as a delta to a version that the receiver has. A read may be
+a long poll, which is answered once the sender has changes or has confirmed that
+there are none.
 """
 
 from typing import Final, NamedTuple
@@ -24,7 +25,7 @@
     Record,
     RecordLog,
     find_version,
-    large_versions,
+    large_record_revisions,
     records_after,
 )
 
@@ -35,7 +36,7 @@
     'decode_feed_query',
     'encode_feed',
     'encode_feed_query',
-    'feed_query',
+    'make_feed_query',
     'records_from_feed',
 )
 
@@ -56,7 +57,7 @@
     bases
         Revisions of the versions of large records that the receiver has.
     wait_s
-        Time that the sender may wait for news.
+        Longest time of a long poll; 0 for an immediate answer.
     """
 
     after: int
@@ -64,10 +65,10 @@
     wait_s: float = 0
 
 
-def feed_query(mesh_state: MeshState, wait_s: float) -> FeedQuery:
+def make_feed_query(mesh_state: MeshState, wait_s: float) -> FeedQuery:
     """Return the query for what a node does not know yet."""
     return FeedQuery(
-        mesh_state.revision, large_versions(mesh_state.records), wait_s
+        mesh_state.revision, large_record_revisions(mesh_state.records), wait_s
     )
 
 
@@ -127,7 +128,7 @@
 def records_from_feed(
     mesh_state: MeshState, document: FeedDocument
 ) -> Result[list[Record], Fault]:
-    """Return the records in a feed, rebuilt from the texts of this node."""
+    """Return the records in a feed, with all deltas applied."""
     records: list[Record] = []
     for each in document['records']:
         body = _decode_body(mesh_state.records, each)
@@ -148,7 +149,7 @@
                 if record.body is not None and record.key.startswith(prefix)
             ],
         )
-        for prefix, revision in log.forgotten.items()
+        for prefix, revision in log.compacted.items()
         if after < revision
     ]
 
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -15,7 +15,7 @@
 from marjoramlead.record_log import (
     Record,
     RecordLog,
-    note_forgotten,
+    mark_compacted,
     put_record,
     unlisted_records,
 )
@@ -181,7 +181,7 @@
     The deletions that were applied.
     """
     log = mesh_state.records
-    note_forgotten(log, prefix, revision)
+    mark_compacted(log, prefix, revision)
     deletions = [
         Record(record.key, None, revision)
         for record in unlisted_records(log, set(keys), prefix)
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -76,7 +76,7 @@
         return await self._watch('', after, wait_ms)
 
     async def read_latest(self, after: int) -> Result[StoreUpdate, Fault]:
-        """Read the changes after a revision without replaced versions.
+        """Read the changes after a revision without intermediate versions.
 
         A watch would deliver each version of the routing configuration in
         full. The operator's records are listed instead, and only the changes
--- a/marjoramlead/record_log.py
+++ b/marjoramlead/record_log.py
@@ -3,7 +3,7 @@
 A record replaces one with the same key only if its revision is higher. A
 deleted record stays as a tombstone, so that nodes that request the changes
 since a revision learn of deletions. Some replaced versions of large records
-are kept, since nodes send each other differences to them.
+are kept, as bases of deltas.
 """
 
 from collections.abc import Collection, Container, Iterator
@@ -15,8 +15,8 @@
     'Record',
     'RecordLog',
     'find_version',
-    'large_versions',
-    'note_forgotten',
+    'large_record_revisions',
+    'mark_compacted',
     'put_record',
     'records_after',
     'unlisted_records',
@@ -24,7 +24,7 @@
 
 # The oldest tombstones beyond this number are dropped.
 MAX_TOMBSTONES: Final = 500
-# Records of at least this size are sent between nodes as differences.
+# Records of at least this size are sent between nodes as deltas.
 LARGE_RECORD_BYTES: Final = 4096
 REPLACED_VERSIONS: Final = 6
 
@@ -56,14 +56,14 @@
         Latest record of each key, including tombstones.
     replaced
         Replaced versions of each large record, the oldest first.
-    forgotten
-        For prefixes of keys, the revision up to which tombstones may be
-        missing.
+    compacted
+        For prefixes of keys, the revision up to which tombstones may have been
+        dropped.
     """
 
     by_key: dict[str, Record] = field(default_factory=dict)
     replaced: dict[str, list[Record]] = field(default_factory=dict)
-    forgotten: dict[str, int] = field(default_factory=dict)
+    compacted: dict[str, int] = field(default_factory=dict)
 
 
 def put_record(log: RecordLog, record: Record) -> bool:
@@ -101,13 +101,13 @@
             yield record
 
 
-def note_forgotten(log: RecordLog, prefix: str, revision: int) -> None:
-    """Note that tombstones up to a revision may be missing."""
-    known = log.forgotten.get(prefix, 0)
-    log.forgotten[prefix] = max(known, revision)
+def mark_compacted(log: RecordLog, prefix: str, revision: int) -> None:
+    """Record that tombstones up to a revision may have been dropped."""
+    known = log.compacted.get(prefix, 0)
+    log.compacted[prefix] = max(known, revision)
 
 
-def large_versions(log: RecordLog) -> frozenset[int]:
+def large_record_revisions(log: RecordLog) -> frozenset[int]:
     """Return the revisions of all known versions of large records."""
     replaced = chain.from_iterable(log.replaced.values())
     return frozenset(
@@ -148,4 +148,4 @@
         tombstones.sort(key=lambda record: record.revision)
         for record in tombstones[:excess]:
             log.by_key.pop(record.key)
-            note_forgotten(log, '', record.revision)
+            mark_compacted(log, '', record.revision)
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -13,7 +13,7 @@
 from marjoramlead.clock import Reactor
 from marjoramlead.dispatch import Dispatcher
 from marjoramlead.feed_client import FeedClient
-from marjoramlead.feed_server import FeedServer, answer_waiting_reads
+from marjoramlead.feed_server import FeedServer, answer_pending_reads
 from marjoramlead.feed_tree import choose_sources
 from marjoramlead.header_names import HeaderNames
 from marjoramlead.hop_client import HopClient
@@ -135,7 +135,7 @@
         lambda: sidecar.feed_sources,
         lambda: _peer_addresses(sidecar),
         lambda: apply_mesh_changes(sidecar),
-        lambda: answer_waiting_reads(sidecar.feed_server),
+        lambda: answer_pending_reads(sidecar.feed_server),
         reactor,
         rng,
     )
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -2,9 +2,9 @@
 
 One node of each data centre reads the store. Every other node follows that
 node, or one that does: it reads the records of its parent, which answers as
-soon as it has news or has confirmed that there are none. A node whose parent
-fails, or whose parent's data is too old, reads the store itself. A node that
-the store fails follows the reader of another data centre.
+soon as it has changes or has confirmed that there are none. A node whose parent
+fails, or whose parent's data is too old, reads the store itself. A node whose
+calls to the store fail follows the reader of another data centre.
 
 A node queries a random peer if neither succeeds, or if another node reports a
 revision that it does not receive in time.
@@ -23,7 +23,7 @@
 from marjoramlead.errors import Fault
 from marjoramlead.events import emit
 from marjoramlead.feed_client import FeedClient, apply_feed, read_feed
-from marjoramlead.feeds import feed_query
+from marjoramlead.feeds import make_feed_query
 from marjoramlead.generated.hop_types import FeedDocument
 from marjoramlead.mesh_state import (
     MeshState,
@@ -52,8 +52,8 @@
 # needed soon.
 ROUTING_DEBOUNCE_S: Final = 0.5
 TARGETS_DEBOUNCE_S: Final = 0.15
-# Time for which a parent may delay the answer to a follower.
-FOLLOW_WAIT_S: Final = 1.1
+# Longest time for which a parent holds the long poll of a follower.
+LONG_POLL_S: Final = 1.1
 # A parent whose data was confirmed longer ago than this is replaced. With the
 # time of one read of the store, a change is then in force within two seconds
 # even if the parent has lost the store unnoticed.
@@ -63,7 +63,7 @@
 # Time for which a parent that has failed is avoided.
 PARENT_BACKOFF_S: Final = 2.0
 # Versions within this time of each other count as quick succession.
-RAPID_CHANGES_S: Final = 2.0
+RAPID_CHANGE_WINDOW_S: Final = 2.0
 # Backoff between attempts to reach the store: shortest first delay, and longest
 # delay. Each delay is random within a factor of two.
 BACKOFF_FIRST_S: Final = 0.15
@@ -111,7 +111,7 @@
         """
 
     async def read_latest(self, after: int) -> Result[StoreUpdate, Fault]:
-        """Read the changes after a revision without replaced versions."""
+        """Read the changes after a revision without intermediate versions."""
 
 
 class FeedAddresses(NamedTuple):
@@ -238,7 +238,7 @@
 async def _follow(watcher: StoreWatcher, parent: Address) -> bool:
     """Read a parent once; return whether this node is current afterwards."""
     started_at = watcher.reactor.seconds()
-    query = feed_query(watcher.mesh_state, FOLLOW_WAIT_S)
+    query = make_feed_query(watcher.mesh_state, LONG_POLL_S)
     result = await read_feed(watcher.feed_client, parent, query)
     if result.is_ok():
         _apply_document(watcher, result.ok, parent[0])
@@ -262,7 +262,7 @@
 
 async def _read_store(watcher: StoreWatcher, wait_s: float) -> None:
     """Read the store once, and wait until it may be read again."""
-    result = await _call_store(watcher, wait_s)
+    result = await _fetch_changes(watcher, wait_s)
     if result.is_error():
         await _on_fault(watcher, result.error)
         return
@@ -276,16 +276,16 @@
         await _sleep(watcher.reactor, TARGETS_DEBOUNCE_S)
 
 
-async def _call_store(
+async def _fetch_changes(
     watcher: StoreWatcher, wait_s: float
 ) -> Result[StoreUpdate, Fault]:
-    """Read what has changed, without replaced versions in rapid changes."""
+    """Read the changes; skip intermediate versions if changes are rapid."""
     if not watcher.after:
         return await watcher.store.list_all()
     changed_ago = (
         watcher.reactor.seconds() - watcher.mesh_state.table_received_at
     )
-    is_rapid = not wait_s and changed_ago < RAPID_CHANGES_S
+    is_rapid = not wait_s and changed_ago < RAPID_CHANGE_WINDOW_S
     if watcher.is_routing_changing or is_rapid:
         return await watcher.store.read_latest(watcher.after)
     return await watcher.store.watch(watcher.after, wait_s)
@@ -357,7 +357,7 @@
     if not peer_addresses:
         return
     address = watcher.rng.choice(peer_addresses)
-    query = feed_query(watcher.mesh_state, 0)
+    query = make_feed_query(watcher.mesh_state, 0)
     result = await read_feed(watcher.feed_client, address, query)
     if result.is_ok():
         _apply_document(watcher, result.ok, address[0])
--- a/tests/test_config_storm.py
+++ b/tests/test_config_storm.py
@@ -7,15 +7,15 @@
 
 ROUTES = [route(f'r{number}', 'safe', 'web') for number in range(300)]
 STORM_S = 4
-# The brief's limits: bytes per second of control traffic per node, and the
-# time until a change is in force.
+# Design limits: bytes per second of control traffic per node, and the time
+# until a change is in force.
 CONTROL_BYTES_PER_S = 6_000
 IN_FORCE_S = 2
 READERS = 2
 HOSTS = 6
 
 
-def play_storm(mesh, gap_s):
+def publish_rapidly(mesh, gap_s):
     """Publish a version every ``gap_s`` seconds; return the last version."""
     version = 1
     storm_ends = mesh.reactor.seconds() + STORM_S
@@ -35,7 +35,7 @@
     )
 
 
-def mesh_before_storm():
+def settled_mesh():
     mesh = ready_mesh(*('web' for _host in range(HOSTS)))
     mesh.configure(1, routes=ROUTES)
     mesh.advance(5)
@@ -44,9 +44,9 @@
 
 @pytest.mark.parametrize('gap_s', [0.08, 0.3])
 def test_rapid_versions_leave_narrow_links_to_requests(gap_s):
-    mesh = mesh_before_storm()
+    mesh = settled_mesh()
     before = [control_bytes(host) for host in mesh.hosts]
-    play_storm(mesh, gap_s)
+    publish_rapidly(mesh, gap_s)
     received = sorted(
         control_bytes(host) - start
         for host, start in zip(mesh.hosts, before, strict=True)
@@ -55,9 +55,9 @@
 
 
 def test_replaced_versions_are_not_read_from_the_store():
-    mesh = mesh_before_storm()
+    mesh = settled_mesh()
     before = [control_bytes(host) for host in mesh.hosts]
-    play_storm(mesh, 0.08)
+    publish_rapidly(mesh, 0.08)
     received = [
         control_bytes(host) - start
         for host, start in zip(mesh.hosts, before, strict=True)
@@ -73,7 +73,7 @@
         'marjoramlead.store_watcher.emit',
         lambda kind, **_fields: logged.append(kind),
     )
-    mesh = mesh_before_storm()
+    mesh = settled_mesh()
     mesh.configure(2, routes=ROUTES)
     mesh.advance(0.05)
     mesh.configure(3, routes=ROUTES)
@@ -86,8 +86,8 @@
 
 @pytest.mark.parametrize('gap_s', [0.08, 0.3])
 def test_last_of_many_versions_is_in_force_in_time(gap_s):
-    mesh = mesh_before_storm()
-    version = play_storm(mesh, gap_s)
+    mesh = settled_mesh()
+    version = publish_rapidly(mesh, gap_s)
     mesh.advance(IN_FORCE_S - gap_s)
     in_force = {host.sidecar.mesh_state.table.version for host in mesh.hosts}
     assert in_force == {version}
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -11,7 +11,7 @@
 from marjoramlead.errors import Fault
 from marjoramlead.feed_client import apply_feed
 from marjoramlead.feed_tree import choose_sources
-from marjoramlead.feeds import decode_feed, encode_feed, feed_query
+from marjoramlead.feeds import decode_feed, encode_feed, make_feed_query
 from marjoramlead.lifecycle import drain_sidecar
 from marjoramlead.mesh_state import (
     MeshState,
@@ -78,7 +78,7 @@
 
 
 def hang_calls(store):
-    """Leave the calls of one node without an end."""
+    """Make the calls of one node hang forever."""
     _replace_calls(store, lambda *_arguments: Deferred())
 
 
@@ -215,7 +215,7 @@
 
 def send_feed(sender, receiver):
     """Pass on the sender's records once."""
-    raw = encode_feed(sender, feed_query(receiver, 0), 0)
+    raw = encode_feed(sender, make_feed_query(receiver, 0), 0)
     apply_feed(receiver, decode_feed(raw).ok, 0)
     return len(raw)
 
@@ -268,7 +268,9 @@
     confirm_revision(receiver, 9, 0, 0)
     sender = mesh_state_with()
     confirm_revision(sender, 8, 5, 5)
-    document = decode_feed(encode_feed(sender, feed_query(receiver, 0), 5)).ok
+    document = decode_feed(
+        encode_feed(sender, make_feed_query(receiver, 0), 5)
+    ).ok
     apply_feed(receiver, document, 5)
     assert (receiver.revision, receiver.confirmed_at) == (9, 0)
 
