--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -3,6 +3,7 @@
 Requests from other nodes are handled in ``peer_requests``.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Final, NamedTuple
@@ -24,12 +25,21 @@
 from marjoramlead.problems import BufferedResponse
 from marjoramlead.refusals import RecentRefusals, record_refusal
 from marjoramlead.replies import response_from_reply
+from marjoramlead.request_origin import (
+    FirstAttempt,
+    Origin,
+    RefusedAttempts,
+    RequestKey,
+    find_first_attempt,
+    remember_refusal,
+)
 from marjoramlead.routes import (
     RoundRobinState,
     Route,
     choose_service,
     find_route,
 )
+from marjoramlead.target_gate import is_running
 from marjoramlead.target_queue import retry_share
 from marjoramlead.upstream import HeaderList, Reply
 from marjoramlead.verdict import Reason, Refusal, Verdict
@@ -84,15 +94,20 @@
         Total size of the request bodies in memory.
     shutdown
         Deadlines of the shutdown, or None before it has begun.
+    parent_request_id
+        Returns the id of the running request that a target's call belongs to,
+        by the id of the call; empty if the id names none.
     """
 
     dispatcher: Dispatcher
     header_names: HeaderNames
     round_robin: RoundRobinState
+    parent_request_id: Callable[[str], str]
     in_flight: int = 0
     buffered_bytes: int = 0
     shutdown: ShutdownSchedule | None = None
     recent_refusals: RecentRefusals = field(default_factory=RecentRefusals)
+    refused_attempts: RefusedAttempts = field(default_factory=RefusedAttempts)
 
 
 @dataclass(slots=True)
@@ -100,13 +115,24 @@
     """What is known of a request in progress.
 
     The route and the fields after it are set by ``_resolve_route``.
+
+    Attributes
+    ----------
+    soft_deadline
+        Latest time of a response that meets the route's latency objective.
+    client_deadline
+        When the client stops waiting, which may be after ``deadline``.
     """
 
     request_id: str
     received_at: float
+    key: RequestKey
+    origin: Origin = Origin.CLIENT
     route: Route | None = None
     service: str = ''
     deadline: float = 0
+    soft_deadline: float = 0
+    client_deadline: float = 0
     version: int = 0
 
 
@@ -115,7 +141,9 @@
     now = frontend.dispatcher.reactor.seconds()
     frontend.in_flight += 1
     context = _RequestContext(
-        _header(req, frontend.header_names.request_id), now
+        _header(req, frontend.header_names.request_id),
+        now,
+        (req.method, _header(req, b'host'), req.uri),
     )
     served = Deferred.fromCoroutine(_serve(frontend, req, context))
     req.notifyFinish().addErrback(lambda _gone: served.cancel())
@@ -161,10 +189,27 @@
     context.route = route
     context.service = choose_service(frontend.round_robin, route)
     client_timeout = _client_timeout_s(req, frontend.header_names.wait_ms)
-    context.deadline = context.received_at + min(client_timeout, route.timeout)
+    context.client_deadline = context.received_at + client_timeout
+    context.deadline = min(
+        context.client_deadline, context.received_at + route.timeout
+    )
+    context.soft_deadline = min(
+        context.received_at + route.latency_objective, context.deadline
+    )
+    context.origin = _find_origin(frontend, context)
     return _check_shutdown(frontend, context)
 
 
+def _find_origin(frontend: ClientFrontend, context: _RequestContext) -> Origin:
+    parent_id = frontend.parent_request_id(context.request_id)
+    if parent_id and is_running(frontend.dispatcher.gate, parent_id):
+        return Origin.RUNNING_REQUEST
+    first_attempt = find_first_attempt(
+        frontend.refused_attempts, context.key, context.client_deadline
+    )
+    return Origin.RETURNING_CLIENT if first_attempt else Origin.CLIENT
+
+
 def _refuse_unknown_route(mesh_state: MeshState, now: float) -> Refusal:
     """Answer 404 only if the routing table is known to be current."""
     is_behind = mesh_state.reported_revision > mesh_state.revision
@@ -228,9 +273,7 @@
         route=route,
         service=context.service,
         deadline=context.deadline,
-        soft_deadline=min(
-            context.received_at + route.latency_objective, context.deadline
-        ),
+        soft_deadline=min(context.soft_deadline, context.deadline),
         method=req.method,
         uri=req.uri,
         headers=_forwarded_headers(frontend.header_names, req),
@@ -283,6 +326,7 @@
         record_refusal(
             frontend.recent_refusals, context.request_id, outcome, ()
         )
+        _remember_first_attempt(frontend, context)
         _record_outcome(
             frontend,
             context,
@@ -296,6 +340,17 @@
         req.send_response_and_close(response)
 
 
+def _remember_first_attempt(
+    frontend: ClientFrontend, context: _RequestContext
+) -> None:
+    if context.origin is Origin.CLIENT and context.route is not None:
+        remember_refusal(
+            frontend.refused_attempts,
+            context.key,
+            FirstAttempt(context.client_deadline, context.soft_deadline),
+        )
+
+
 def _build_refusal_response(
     frontend: ClientFrontend,
     context: _RequestContext,
@@ -353,13 +408,16 @@
     dispatcher = frontend.dispatcher
     elapsed = dispatcher.reactor.seconds() - context.received_at
     metrics = dispatcher.metrics
-    metrics.requests.labels(context.service, outcome, reason).inc()
+    metrics.requests.labels(
+        context.service, context.origin, outcome, reason
+    ).inc()
     metrics.request_latency.labels(context.service).observe(elapsed)
     emit(
         'request',
         request_id=context.request_id,
         route=context.route.name if context.route else '',
         service=context.service,
+        origin=context.origin,
         outcome=outcome,
         reason=reason,
         retry_after=retry_after,
--- a/marjoramlead/metrics.py
+++ b/marjoramlead/metrics.py
@@ -27,7 +27,9 @@
     Attributes
     ----------
     requests
-        Client requests that have ended, by service, outcome and reason.
+        Client requests that have ended, by service, origin, outcome and reason.
+        The origin is a client, one that was refused before, or a request that
+        runs at the local target.
     request_latency
         Seconds from a client's request to its final response, by service.
     offers
@@ -65,7 +67,7 @@
         self.requests = Counter(
             'marjoramlead_requests',
             'Client requests that have ended.',
-            ['service', 'outcome', 'reason'],
+            ['service', 'origin', 'outcome', 'reason'],
             registry=registry,
         )
         self.request_latency = Histogram(
--- a/marjoramlead/platform/__main__.py
+++ b/marjoramlead/platform/__main__.py
@@ -24,7 +24,10 @@
     from marjoramlead.platform.decoding import (  # after install_reactor()
         decode_record,
     )
-    from marjoramlead.platform.names import PLATFORM_HEADER_NAMES
+    from marjoramlead.platform.names import (
+        PLATFORM_HEADER_NAMES,
+        parent_request_id,
+    )
     from marjoramlead.platform.settings import load_sidecar_config
     from marjoramlead.platform.store import PlatformStore
     from marjoramlead.sidecar import PlatformAdapter, build_sidecar
@@ -41,6 +44,7 @@
         decode_record,
         lambda metrics: PlatformStore(reactor, config.store, metrics),
         _make_reloader(path, load_sidecar_config),
+        parent_request_id,
     )
     sidecar = build_sidecar(config, reactor, adapter, Random())
     reactor.callWhenRunning(install_signal_handlers, sidecar)
--- a/marjoramlead/platform/names.py
+++ b/marjoramlead/platform/names.py
@@ -11,6 +11,7 @@
     'PLATFORM_HEADER_NAMES',
     'SETTINGS_ENV_VAR',
     'TARGET_PREFIX',
+    'parent_request_id',
 )
 
 SETTINGS_ENV_VAR: Final = 'MARJORAMLEAD_NODE_FILE'
@@ -30,3 +31,16 @@
     target_id=b'x-instance-id',
     cold_ms=b'x-cold-ms',
 )
+
+# Separates the id of a running request from the rest of the id of a call that
+# its target makes.
+CALL_ID_SEPARATOR: Final = '.'
+
+
+def parent_request_id(request_id: str) -> str:
+    """Return the id of the request that a call belongs to, or an empty string.
+
+    Calls of calls have further parts; the id before the last part is that of
+    the caller.
+    """
+    return request_id.rpartition(CALL_ID_SEPARATOR)[0]
--- /dev/null
+++ b/marjoramlead/request_origin.py
@@ -0,0 +1,103 @@
+"""Recognise calls of running requests, and clients that return.
+
+A target that runs a request may make calls of its own through the node beside
+it. If such a call is refused, the work on the running request is lost.
+
+A client that was refused may send its request again. Its latency objective
+still counts from the first attempt, so the node remembers refused requests
+until their deadline.
+
+This module does no I/O. Times are in seconds on the node's monotonic clock.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Final, NamedTuple
+
+__all__ = (
+    'FirstAttempt',
+    'Origin',
+    'RefusedAttempts',
+    'RequestKey',
+    'find_first_attempt',
+    'remember_refusal',
+)
+
+# Limit on the refused requests that are remembered.
+MAX_REMEMBERED: Final = 2000
+# Largest difference between the deadlines of two attempts of one client. Each
+# deadline is the time left that the client states, counted from the arrival.
+DEADLINE_TOLERANCE_S: Final = 0.1
+
+# Method, host name and URI, as sent by the client.
+RequestKey = tuple[bytes, str, bytes]
+
+
+class Origin(StrEnum):
+    """Where a request of this host comes from."""
+
+    CLIENT = 'client'
+    RETURNING_CLIENT = 'returning_client'
+    RUNNING_REQUEST = 'running_request'
+
+
+class FirstAttempt(NamedTuple):
+    """The first attempt of a client at a request.
+
+    Attributes
+    ----------
+    deadline
+        Time at which the client stops waiting.
+    soft_deadline
+        Latest time of an answer that meets the latency objective.
+    """
+
+    deadline: float
+    soft_deadline: float
+
+
+@dataclass(slots=True)
+class RefusedAttempts:
+    """First attempts of refused clients by request, the oldest first."""
+
+    by_key: OrderedDict[RequestKey, FirstAttempt] = field(
+        default_factory=OrderedDict
+    )
+
+
+def remember_refusal(
+    refused: RefusedAttempts, key: RequestKey, attempt: FirstAttempt
+) -> None:
+    """Remember a refused attempt; drop the oldest over the limit."""
+    refused.by_key[key] = attempt
+    refused.by_key.move_to_end(key)
+    if len(refused.by_key) > MAX_REMEMBERED:
+        refused.by_key.popitem(last=False)
+
+
+def find_first_attempt(
+    refused: RefusedAttempts, key: RequestKey, deadline: float
+) -> FirstAttempt | None:
+    """Return the first attempt of a client that was refused before.
+
+    Parameters
+    ----------
+    refused
+        Refused attempts of this node.
+    key
+        The request.
+    deadline
+        When the client stops waiting. Two clients may send the same request,
+        but hardly with the same deadline.
+
+    Returns
+    -------
+    The first attempt, or None if the client has not been refused.
+    """
+    attempt = refused.by_key.get(key)
+    if attempt is None or abs(attempt.deadline - deadline) > (
+        DEADLINE_TOLERANCE_S
+    ):
+        return None
+    return attempt
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -59,6 +59,9 @@
     reload_config
         Reads the settings again; returns None if they have not changed or
         are invalid.
+    parent_request_id
+        Returns the id of the running request that a target's call belongs to,
+        by the id of the call; empty if the id names none.
     connect
         Opens a connection to an address.
     """
@@ -67,6 +70,7 @@
     decode_record: RecordDecoder
     make_store: Callable[[Metrics], Store]
     reload_config: Callable[[], SidecarConfig | None]
+    parent_request_id: Callable[[str], str]
     connect: Connect = connect_tcp
 
 
@@ -159,7 +163,10 @@
         lambda: sidecar.config.service,
     )
     frontend = ClientFrontend(
-        dispatcher, adapter.header_names, RoundRobinState(rng)
+        dispatcher,
+        adapter.header_names,
+        RoundRobinState(rng),
+        adapter.parent_request_id,
     )
     sidecar = Sidecar(
         config,
--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -28,6 +28,7 @@
 __all__ = (
     'TargetGate',
     'acquire_slot',
+    'is_running',
     'not_run_refusal',
     'refuse_if_unavailable',
     'refuse_waiting_requests',
@@ -124,6 +125,14 @@
     return None
 
 
+def is_running(gate: TargetGate, request_id: str) -> bool:
+    """Return whether the local target runs a request."""
+    return any(
+        entry.request_id == request_id
+        for entry, _started_at in gate.queue.running.values()
+    )
+
+
 async def acquire_slot(
     gate: TargetGate, job: Job, number: int
 ) -> Refusal | None:
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -10,7 +10,10 @@
 from marjoramlead.lifecycle import start_sidecar
 from marjoramlead.mesh_retry_budget import MeshRetryBudgetConfig
 from marjoramlead.platform.decoding import decode_record
-from marjoramlead.platform.names import PLATFORM_HEADER_NAMES
+from marjoramlead.platform.names import (
+    PLATFORM_HEADER_NAMES,
+    parent_request_id,
+)
 from marjoramlead.platform.store import PlatformStore
 from marjoramlead.sidecar import PlatformAdapter, Sidecar, build_sidecar
 from marjoramlead.sidecar_config import SidecarConfig
@@ -163,6 +166,7 @@
                 self.reactor, STORE, metrics, self.connect
             ),
             lambda: None,
+            parent_request_id,
             self.connect,
         )
         rng = Random(f'{host.address}')
