Serve calls of running requests first, and refuse them only past their deadline

Cause: a call that a running request makes competed with new requests for the same slots and was refused as soon as its short latency objective was in doubt. The slot time and the work of its caller were lost, and the freed slot took the next request that met the same end.

A call is recognised by the id of the request that runs at the local target. It ranks before all other requests, waits after one immediate offer, and is refused only if it cannot end before its deadline. Nodes of the version before read the new field of a hop as unknown and ignore it.

--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -278,6 +278,7 @@
         uri=req.uri,
         headers=_forwarded_headers(frontend.header_names, req),
         body=body,
+        is_nested=context.origin is Origin.RUNNING_REQUEST,
     )
     return await dispatch(dispatcher, request)
 
--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -42,6 +42,8 @@
 # Number of targets that are offered a request for an immediate start only;
 # further targets may queue it.
 IMMEDIATE_OFFERS: Final = 3
+# The same for nested requests, which go first in every queue.
+NESTED_IMMEDIATE_OFFERS: Final = 1
 # Maximum number of offers of one request. Each takes about a millisecond;
 # after this many refusals the service is considered full.
 MAX_OFFERS: Final = 8
@@ -74,6 +76,9 @@
     soft_deadline
         Latest time of a response that meets the route's latency objective; at
         most ``deadline``.
+    is_nested
+        Whether another request, which runs at the local target, needs the
+        answer.
     """
 
     request_id: str
@@ -85,6 +90,7 @@
     uri: bytes
     headers: HeaderList
     body: bytes
+    is_nested: bool = False
 
 
 @dataclass(slots=True)
@@ -207,8 +213,11 @@
     attempts: _Attempts,
     target: TargetEntry,
 ) -> Outcome:
+    immediate_offers = (
+        NESTED_IMMEDIATE_OFFERS if request.is_nested else IMMEDIATE_OFFERS
+    )
     may_wait = target.target_id in attempts.offered_ids or (
-        len(attempts.offered_ids) >= IMMEDIATE_OFFERS
+        len(attempts.offered_ids) >= immediate_offers
     )
     attempts.offered_ids.add(target.target_id)
     if may_wait:
@@ -253,6 +262,7 @@
         deadline=request.deadline,
         calling_service=dispatcher.calling_service(),
         may_wait=may_wait,
+        is_nested=request.is_nested,
         method=request.method,
         uri=request.uri,
         headers=request.headers,
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -69,6 +69,8 @@
     may_wait
         Whether the request may wait for a slot. If not, the target's node
         refuses it unless it can start at once.
+    is_nested
+        Whether another request, which is running, needs the answer.
     soft_deadline
         Latest time of a response that meets the route's latency objective, on
         this node's clock.
@@ -87,6 +89,7 @@
     deadline: float
     calling_service: str
     may_wait: bool
+    is_nested: bool
     method: bytes
     uri: bytes
     headers: HeaderList
@@ -111,6 +114,7 @@
         'aim_ms': (job.soft_deadline - now) * MS_PER_SECOND,
         'caller': job.calling_service,
         'may_wait': job.may_wait,
+        'is_nested': job.is_nested,
     }
     return msgspec.json.encode(terms)
 
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -133,6 +133,7 @@
         deadline=now + terms['wait_ms'] / MS_PER_SECOND,
         calling_service=terms['caller'],
         may_wait=terms['may_wait'],
+        is_nested=terms.get('is_nested', False),
         method=req.method,
         uri=req.uri,
         headers=headers,
--- a/marjoramlead/queue_estimates.py
+++ b/marjoramlead/queue_estimates.py
@@ -49,6 +49,9 @@
 # Shorter latency objectives are extended to this, so that the request may wait
 # for a slot: if it were refused, its caller would hardly retry sooner.
 MIN_OBJECTIVE_S: Final = 0.25
+# Rank of nested requests. The slot and the work of the request that waits for
+# the answer are lost if a nested request is refused or late.
+NESTED_RANK: Final[Rank] = (False, -1)
 # Bounds of the time after which a refused caller should retry.
 MIN_RETRY_AFTER_S: Final = 0.05
 MAX_RETRY_AFTER_S: Final = 2.0
@@ -116,6 +119,8 @@
 
 def rank_of(queue: TargetQueue, entry: QueueEntry, now: float) -> Rank:
     """Return whether a request started now would be late, and its priority."""
+    if entry.is_nested:
+        return NESTED_RANK
     is_late = (
         now + expected_service_time(queue, entry, now) > entry.soft_deadline
     )
@@ -157,7 +162,7 @@
     A request that would meet its latency objective if it started now is refused
     unless it is expected to meet it after its wait as well; otherwise all
     answers would be late during a long overload. A request that is late already
-    only has to meet its deadline.
+    only has to meet its deadline, and so does a nested one.
     """
     expected_end = (
         now
@@ -166,7 +171,9 @@
     )
     deadline_left = entry.deadline - now
     is_late, _priority = rank_of(queue, entry, now)
-    if is_late:
+    if entry.is_nested:
+        latest_end = now + DEADLINE_SHARE * deadline_left
+    elif is_late:
         latest_end = now + LATE_DEADLINE_SHARE * deadline_left
     else:
         service_time = expected_service_time(queue, entry, now)
--- a/marjoramlead/queue_state.py
+++ b/marjoramlead/queue_state.py
@@ -34,6 +34,8 @@
         between this time and ``deadline`` is worth less.
     is_retry
         Whether a target has received the request before.
+    is_nested
+        Whether another request, which is running, needs the answer.
     """
 
     number: int
@@ -43,6 +45,7 @@
     soft_deadline: float
     deadline: float
     is_retry: bool = False
+    is_nested: bool = False
 
 
 @dataclass(slots=True)
--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -151,6 +151,7 @@
         job.soft_deadline,
         job.deadline,
         job.is_retry,
+        job.is_nested,
     )
     now = gate.reactor.seconds()
     admitted = admit(gate.queue, entry, now, may_wait=job.may_wait)
--- a/marjoramlead/target_queue.py
+++ b/marjoramlead/target_queue.py
@@ -6,8 +6,9 @@
 than the target has slots, for any length of time, and the target never runs
 more requests than it has slots.
 
-Requests that can still meet their latency objective are started first, by
-priority and then by deadline. Among routes of the same priority, a route goes
+Nested requests are started first: a running request needs their answers. Then
+come requests that can still meet their latency objective, by priority and then
+by deadline. Among routes of the same priority, a route goes
 first if only a small share of its requests was started, so that no route is
 starved. A request that is not expected to end in time is refused at once, with
 a retry-after time. A cold target is sent requests at a limited, even rate.
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -1,7 +1,12 @@
 """A stand-in for a target on the platform: slots, a cold start and faults."""
 
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from typing import cast
 
+from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
 from twisted.web.http_headers import Headers
 
 from marjoramlead.clock import Clock
@@ -39,6 +44,14 @@
     caller: str
     wait_ms: int
     ran: bool = True
+    uri: bytes = b''
+
+
+Calls = Sequence[Deferred[bool]]
+
+
+def _call_nothing(_arrival: Arrival) -> Calls:
+    return ()
 
 
 @dataclass
@@ -56,6 +69,12 @@
         Highest number of requests that ran concurrently.
     work_s
         Seconds that each request takes.
+    work_of
+        Returns the seconds that one request takes; overrides ``work_s``.
+    make_calls
+        Starts the calls that a request makes before its work. Each Deferred
+        fires with whether its call succeeded; the request fails with 500 if
+        one has not.
     cold_until
         Time at which the target is warm, on the reactor's clock.
     probe_s
@@ -77,6 +96,8 @@
     most_running: int = 0
     arrivals: list[Arrival] = field(default_factory=list)
     disconnected: list[str] = field(default_factory=list)
+    work_of: Callable[[Arrival], float] | None = None
+    make_calls: Callable[[Arrival], Calls] = _call_nothing
 
 
 def handle_target(target: TargetStandIn, req: StreamRequest) -> None:
@@ -89,6 +110,7 @@
         target.reactor.seconds(),
         _header(req, b'X-Caller-Service'),
         int(_header(req, b'X-Deadline-Ms') or '-1'),
+        uri=req.uri,
     )
     target.arrivals.append(arrival)
     expected = _header(req, b'X-Expected-Instance')
@@ -105,27 +127,43 @@
     target.most_running = max(target.most_running, target.running)
     if req.body is not None:
         req.body.startProducing(_DiscardingConsumer())
-    response_timer = target.reactor.callLater(
-        target.work_s,
-        _respond,
-        target,
-        req,
-        arrival.request_id,
-    )
+    working = Deferred.fromCoroutine(_work(target, req, arrival))
+    working.addErrback(lambda _cancelled: None)
 
     def on_disconnect(_failure: object) -> None:
-        if response_timer.active():
-            response_timer.cancel()
-            target.running -= 1
+        if not working.called:
             target.disconnected.append(arrival.request_id)
+            working.cancel()
 
     req.notifyFinish().addErrback(on_disconnect)
 
 
+async def _work(
+    target: TargetStandIn, req: StreamRequest, arrival: Arrival
+) -> None:
+    """Make the calls of a request, work on it, and respond."""
+    try:
+        succeeded = await _all_succeed(target.make_calls(arrival))
+        if succeeded:
+            work_s = target.work_of(arrival) if target.work_of else None
+            clock = cast(IReactorTime, target.reactor)
+            await deferLater(clock, work_s or target.work_s)
+    finally:
+        target.running -= 1
+    _respond(target, req, arrival.request_id, succeeded)
+
+
+async def _all_succeed(calls: Calls) -> bool:
+    outcomes = await DeferredList(calls, consumeErrors=True)
+    return all(is_done and succeeded for is_done, succeeded in outcomes)
+
+
 def _respond(
-    target: TargetStandIn, req: StreamRequest, request_id: str
+    target: TargetStandIn,
+    req: StreamRequest,
+    request_id: str,
+    succeeded: bool,
 ) -> None:
-    target.running -= 1
     if target.fault == 'silent':
         return
     if target.fault == 'reset':
@@ -139,7 +177,7 @@
     )
     if target.fault != 'unsealed':
         headers.setRawHeaders(b'X-Server-Seal', [b'seal'])
-    status = 500 if target.fault == 'error' else 200
+    status = 200 if succeeded and target.fault != 'error' else 500
     transport = req.channel.transport
     req.send_response(BufferedResponse(status, headers, request_id.encode()))
     if target.fault == 'extra':
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -205,10 +205,13 @@
         wait_ms: int = 1000,
         body: bytes = b'',
         method: bytes = b'GET',
+        request_id: str = '',
     ) -> Exchange:
-        """Send a client's request to the sidecar of its host."""
+        """Send a request to the outbound port of a host's sidecar."""
         self.exchange_count += 1
-        exchange = Exchange(f'r{self.exchange_count}', self.reactor.seconds())
+        exchange = Exchange(
+            request_id or f'r{self.exchange_count}', self.reactor.seconds()
+        )
         outgoing = OutgoingRequest(
             method,
             path.encode(),
