Estimate the wait for a slot by the rate at which slots are released

Cause: the wait for the first of n busy slots was estimated from each running request on its own, and never as less than half of the mean service time. With six slots the next one is free after about a sixth of it. As only 0.35 of the remaining objective may be spent waiting, a busy target refused nearly every request that it could still have answered in time.

--- a/marjoramlead/queue_estimates.py
+++ b/marjoramlead/queue_estimates.py
@@ -3,7 +3,6 @@
 This module does no I/O. Times are in seconds on the node's monotonic clock.
 """
 
-import heapq
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
@@ -46,6 +45,8 @@
 # Upper bound on the utilisation assumed in the estimate of a wait; close to 1,
 # the estimate would grow without limit.
 MAX_UTILISATION: Final = 0.95
+# Lower bound on the estimated time that a running request still takes.
+MIN_REMAINING_S: Final = 0.001
 # Shorter latency objectives are extended to this, so that the request may wait
 # for a slot: if it were refused, its caller would hardly retry sooner.
 MIN_OBJECTIVE_S: Final = 0.25
@@ -216,37 +217,37 @@
     ahead: Iterable[QueueEntry],
     now: float,
 ) -> float:
-    """Estimate when a slot is free once the requests ahead have started."""
+    """Estimate when a slot is free once the requests ahead have started.
+
+    Service times vary so much that the end of a running request says little
+    about the others: slots are released at a rate, not in order of their
+    starts.
+    """
     if queue.slots <= 0:
         return float('inf')
-    free = max(0, queue.slots - len(queue.running))
-    free_at = [now for _slot in range(free)]
-    for entry, started_at in queue.running.values():
-        free_at.append(_expected_end(queue, entry, started_at, now))
-    heapq.heapify(free_at)
-    ahead_count = 0
+    free = queue.slots - len(queue.running)
+    start, ahead_count = now, 0
+    if free <= 0:
+        start += 1 / _release_rate(queue, now)
     for entry in ahead:
-        start = heapq.heappop(free_at)
-        heapq.heappush(
-            free_at, start + expected_service_time(queue, entry, now)
-        )
         ahead_count += 1
-    return max(free_at[0], _earliest_cold_start(queue, ahead_count, now))
+        if ahead_count >= free:
+            start += expected_service_time(queue, entry, now) / queue.slots
+    return max(start, _earliest_cold_start(queue, ahead_count, now))
 
 
-def _expected_end(
-    queue: TargetQueue,
-    entry: QueueEntry,
-    started_at: float,
-    now: float,
-) -> float:
-    """Estimate the end of a running request from the mean service time.
+def _release_rate(queue: TargetQueue, now: float) -> float:
+    """Return the number of slots that running requests release per second.
 
     A request that has run for more than half of the mean is expected to take
     half of the mean more.
     """
-    service_time = expected_service_time(queue, entry, now)
-    return max(started_at + service_time, now + service_time / 2)
+    rate: float = 0
+    for entry, started_at in queue.running.values():
+        service_time = expected_service_time(queue, entry, now)
+        remaining = max(started_at + service_time - now, service_time / 2)
+        rate += 1 / max(remaining, MIN_REMAINING_S)
+    return rate
 
 
 def _earliest_cold_start(
