Recognise clients that return, and tell them to return when they can be served

Those that were served held slots for late answers, since a returning client was taken for a new one with its whole latency objective.

The node remembers a refused request until it returns, by method, host, URI and deadline. Its objective counts from the first attempt. A target gives each refused client a time of its own, at a tenth of its slots; one that returns then holds a reservation and is refused only past its deadline. The Retry-After time is no longer cut: a client that is told a time beyond its deadline knows that returning sooner is in vain. Requests that are late without a reservation get what the demand in time leaves, not what its started part leaves: a target full of late requests refused new ones, which then returned late themselves.

--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -56,9 +56,6 @@
 # confirmed longer ago may lack routes that other nodes already have, so an
 # unknown route is answered with 503 instead of 404.
 MAX_TABLE_AGE_S: Final = 2.0
-# Retry-After is at most this share of the time until the request's deadline,
-# because the client would not wait longer.
-MAX_RETRY_AFTER_SHARE: Final = 0.33
 
 STATUS_BY_REASON: Final = {  # noqa: WPS407  # never modified
     Reason.BODY_CUT: HTTPStatus.BAD_REQUEST,
@@ -122,6 +119,8 @@
         Latest time of a response that meets the route's latency objective.
     client_deadline
         When the client stops waiting, which may be after ``deadline``.
+    has_reservation
+        Whether the client was told to return by now.
     """
 
     request_id: str
@@ -133,6 +132,7 @@
     deadline: float = 0
     soft_deadline: float = 0
     client_deadline: float = 0
+    has_reservation: bool = False
     version: int = 0
 
 
@@ -196,18 +196,23 @@
     context.soft_deadline = min(
         context.received_at + route.latency_objective, context.deadline
     )
-    context.origin = _find_origin(frontend, context)
+    _resolve_origin(frontend, context)
     return _check_shutdown(frontend, context)
 
 
-def _find_origin(frontend: ClientFrontend, context: _RequestContext) -> Origin:
+def _resolve_origin(frontend: ClientFrontend, context: _RequestContext) -> None:
+    """Set the origin, and what a returning client was promised."""
     parent_id = frontend.parent_request_id(context.request_id)
     if parent_id and is_running(frontend.dispatcher.gate, parent_id):
-        return Origin.RUNNING_REQUEST
+        context.origin = Origin.RUNNING_REQUEST
+        return
     first_attempt = find_first_attempt(
         frontend.refused_attempts, context.key, context.client_deadline
     )
-    return Origin.RETURNING_CLIENT if first_attempt else Origin.CLIENT
+    if first_attempt is not None:
+        context.origin = Origin.RETURNING_CLIENT
+        context.soft_deadline = first_attempt.soft_deadline
+        context.has_reservation = context.received_at >= first_attempt.return_at
 
 
 def _refuse_unknown_route(mesh_state: MeshState, now: float) -> Refusal:
@@ -279,6 +284,7 @@
         headers=_forwarded_headers(frontend.header_names, req),
         body=body,
         is_nested=context.origin is Origin.RUNNING_REQUEST,
+        has_reservation=context.has_reservation,
     )
     return await dispatch(dispatcher, request)
 
@@ -327,7 +333,7 @@
         record_refusal(
             frontend.recent_refusals, context.request_id, outcome, ()
         )
-        _remember_first_attempt(frontend, context)
+        _remember_refusal(frontend, context, outcome)
         _record_outcome(
             frontend,
             context,
@@ -341,15 +347,19 @@
         req.send_response_and_close(response)
 
 
-def _remember_first_attempt(
-    frontend: ClientFrontend, context: _RequestContext
+def _remember_refusal(
+    frontend: ClientFrontend, context: _RequestContext, refusal: Refusal
 ) -> None:
-    if context.origin is Origin.CLIENT and context.route is not None:
-        remember_refusal(
-            frontend.refused_attempts,
-            context.key,
-            FirstAttempt(context.client_deadline, context.soft_deadline),
-        )
+    """Remember a refused client, so that it is recognised if it returns."""
+    if context.route is None or context.origin is Origin.RUNNING_REQUEST:
+        return
+    now = frontend.dispatcher.reactor.seconds()
+    attempt = FirstAttempt(
+        context.client_deadline,
+        context.soft_deadline,
+        now + refusal.retry_after,
+    )
+    remember_refusal(frontend.refused_attempts, context.key, attempt)
 
 
 def _build_refusal_response(
@@ -362,15 +372,9 @@
     if context.request_id:
         raw = context.request_id.encode('latin-1')
         fields.setRawHeaders(frontend.header_names.request_id, [raw])
-    if status == HTTPStatus.SERVICE_UNAVAILABLE:
-        now = frontend.dispatcher.reactor.seconds()
-        remaining = max(0, context.deadline - now)
-        delay = min(refusal.retry_after, remaining * MAX_RETRY_AFTER_SHARE)
-        if delay > 0 or not context.deadline:
-            shown_delay = delay or refusal.retry_after
-            fields.setRawHeaders(
-                b'Retry-After', [f'{shown_delay:.3f}'.encode()]
-            )
+    if status == HTTPStatus.SERVICE_UNAVAILABLE and refusal.retry_after:
+        retry_after = f'{refusal.retry_after:.3f}'
+        fields.setRawHeaders(b'Retry-After', [retry_after.encode()])
     return BufferedResponse(status, fields, b'')
 
 
--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -79,6 +79,8 @@
     is_nested
         Whether another request, which runs at the local target, needs the
         answer.
+    has_reservation
+        Whether the client was refused before and told to return by now.
     """
 
     request_id: str
@@ -91,6 +93,7 @@
     headers: HeaderList
     body: bytes
     is_nested: bool = False
+    has_reservation: bool = False
 
 
 @dataclass(slots=True)
@@ -263,6 +266,7 @@
         calling_service=dispatcher.calling_service(),
         may_wait=may_wait,
         is_nested=request.is_nested,
+        has_reservation=request.has_reservation,
         method=request.method,
         uri=request.uri,
         headers=request.headers,
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -71,6 +71,8 @@
         refuses it unless it can start at once.
     is_nested
         Whether another request, which is running, needs the answer.
+    has_reservation
+        Whether the client was refused before and told to return by now.
     soft_deadline
         Latest time of a response that meets the route's latency objective, on
         this node's clock.
@@ -90,6 +92,7 @@
     calling_service: str
     may_wait: bool
     is_nested: bool
+    has_reservation: bool
     method: bytes
     uri: bytes
     headers: HeaderList
@@ -115,6 +118,7 @@
         'caller': job.calling_service,
         'may_wait': job.may_wait,
         'is_nested': job.is_nested,
+        'has_reservation': job.has_reservation,
     }
     return msgspec.json.encode(terms)
 
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -134,6 +134,7 @@
         calling_service=terms['caller'],
         may_wait=terms['may_wait'],
         is_nested=terms.get('is_nested', False),
+        has_reservation=terms.get('has_reservation', False),
         method=req.method,
         uri=req.uri,
         headers=headers,
--- a/marjoramlead/queue_estimates.py
+++ b/marjoramlead/queue_estimates.py
@@ -56,6 +56,9 @@
 # Bounds of the time after which a refused caller should retry.
 MIN_RETRY_AFTER_S: Final = 0.05
 MAX_RETRY_AFTER_S: Final = 2.0
+# Share of the slots for refused clients that return when they were told to. The
+# answers to them are late, and would displace answers in time.
+RESERVED_SHARE: Final = 0.1
 
 # Rank, served share of the route, deadline and number; the lowest goes first.
 SchedulingKey = tuple[Rank, float, float, int]
@@ -122,7 +125,7 @@
     """Return whether a request started now would be late, and its priority."""
     if entry.is_nested:
         return NESTED_RANK
-    is_late = (
+    is_late = not entry.has_reservation and (
         now + expected_service_time(queue, entry, now) > entry.soft_deadline
     )
     return is_late, entry.priority
@@ -163,7 +166,8 @@
     A request that would meet its latency objective if it started now is refused
     unless it is expected to meet it after its wait as well; otherwise all
     answers would be late during a long overload. A request that is late already
-    only has to meet its deadline, and so does a nested one.
+    only has to meet its deadline, and so does a nested one, or one with a
+    reservation.
     """
     expected_end = (
         now
@@ -172,7 +176,7 @@
     )
     deadline_left = entry.deadline - now
     is_late, _priority = rank_of(queue, entry, now)
-    if entry.is_nested:
+    if entry.is_nested or entry.has_reservation:
         latest_end = now + DEADLINE_SHARE * deadline_left
     elif is_late:
         latest_end = now + LATE_DEADLINE_SHARE * deadline_left
@@ -186,7 +190,7 @@
     return (
         None
         if expected_end <= latest_end
-        else _overload_refusal(queue, expected_end - latest_end, now)
+        else _overload_refusal(queue, entry, expected_end - latest_end, now)
     )
 
 
@@ -205,10 +209,24 @@
 
 
 def _overload_refusal(
-    queue: TargetQueue, excess_s: float, now: float
+    queue: TargetQueue, entry: QueueEntry, excess_s: float, now: float
 ) -> Refusal:
+    """Refuse a request, and tell its client to return once it can be served.
+
+    Each refused client gets a time of its own, after those that were told to
+    return before it. During a long overload these times soon lie beyond the
+    clients' deadlines.
+    """
     reason = Reason.COLD if now < queue.cold_until else Reason.OVERLOAD
-    retry_after = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, excess_s))
+    return_at = max(now + excess_s, queue.reserved_until)
+    retry_after = min(
+        MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, return_at - now)
+    )
+    service_time = expected_service_time(queue, entry, now)
+    queue.reserved_until = min(
+        now + MAX_RETRY_AFTER_S,
+        return_at + service_time / (RESERVED_SHARE * max(1, queue.slots)),
+    )
     return Refusal(reason, Verdict.NOT_RUN, retry_after)
 
 
--- a/marjoramlead/queue_state.py
+++ b/marjoramlead/queue_state.py
@@ -36,6 +36,8 @@
         Whether a target has received the request before.
     is_nested
         Whether another request, which is running, needs the answer.
+    has_reservation
+        Whether the client was refused before and told to return by now.
     """
 
     number: int
@@ -46,6 +48,7 @@
     deadline: float
     is_retry: bool = False
     is_nested: bool = False
+    has_reservation: bool = False
 
 
 @dataclass(slots=True)
@@ -61,6 +64,9 @@
     cold_per_s, cold_until
         Maximum number of requests started per second, and the time until
         which this limit applies.
+    reserved_until
+        Time up to which slots are reserved for refused clients that were told
+        to return.
     tokens
         Tokens left in the bucket at ``tokens_updated_at``. Each start takes
         one; they are refilled at ``cold_per_s``.
@@ -72,6 +78,7 @@
     running: dict[int, tuple[QueueEntry, float]] = field(default_factory=dict)
     waiting: dict[int, QueueEntry] = field(default_factory=dict)
     statistics: QueueStatistics = field(default_factory=QueueStatistics)
+    reserved_until: float = 0
     tokens: float = COLD_BURST_REQUESTS
     tokens_updated_at: float = 0
 
--- a/marjoramlead/queue_statistics.py
+++ b/marjoramlead/queue_statistics.py
@@ -67,15 +67,16 @@
         Mean service time in seconds, by route.
     mean_service_time
         Mean service time in seconds over all routes.
-    started_work
-        Decayed sum of the expected service times, in seconds, of started
-        requests, by rank.
+    arrived_work, started_work
+        Decayed sums of the expected service times, in seconds, of requests
+        that arrived and that started, by rank.
     arrivals, starts
         Decayed counts of requests that arrived and that started, by route.
     """
 
     service_times: dict[str, float] = field(default_factory=dict)
     mean_service_time: float = 0
+    arrived_work: dict[Rank, _DecayingCount] = field(default_factory=dict)
     started_work: dict[Rank, _DecayingCount] = field(default_factory=dict)
     arrivals: dict[str, _DecayingCount] = field(default_factory=dict)
     starts: dict[str, _DecayingCount] = field(default_factory=dict)
@@ -111,9 +112,18 @@
     return INITIAL_SERVICE_TIME_SHARE * max(0, objective_left)
 
 
-def record_arrival(statistics: QueueStatistics, route: str, now: float) -> None:
-    """Count an arrived request."""
+def record_arrival(
+    statistics: QueueStatistics,
+    route: str,
+    rank: Rank,
+    service_time: float,
+    now: float,
+) -> None:
+    """Count an arrived request and add its expected service time."""
     statistics.arrivals.setdefault(route, _DecayingCount()).add(1, now)
+    statistics.arrived_work.setdefault(rank, _DecayingCount()).add(
+        service_time, now
+    )
 
 
 def record_start(
@@ -149,11 +159,14 @@
 ) -> float:
     """Return the recent share of the slots used by requests ahead of a rank.
 
-    Requests of lower ranks are ahead, since they are served first.
+    Requests of lower ranks are ahead, since they are served first. Late
+    requests leave the slots to those in time, also to those that are refused:
+    a target that serves late requests has no slot for new ones, which then
+    return late themselves.
     """
-    started_work = sum(
-        each.value_at(now)
-        for key, each in statistics.started_work.items()
-        if key < rank
+    is_late, _priority = rank
+    work = statistics.arrived_work if is_late else statistics.started_work
+    work_ahead = sum(
+        each.value_at(now) for key, each in work.items() if key < rank
     )
-    return started_work / TIME_CONSTANT_S / max(1, slots)
+    return work_ahead / TIME_CONSTANT_S / max(1, slots)
--- a/marjoramlead/request_origin.py
+++ b/marjoramlead/request_origin.py
@@ -43,7 +43,7 @@
 
 
 class FirstAttempt(NamedTuple):
-    """The first attempt of a client at a request.
+    """The first attempt of a client at a request, and when it may return.
 
     Attributes
     ----------
@@ -51,15 +51,18 @@
         Time at which the client stops waiting.
     soft_deadline
         Latest time of an answer that meets the latency objective.
+    return_at
+        Earliest time at which the client was told to return.
     """
 
     deadline: float
     soft_deadline: float
+    return_at: float
 
 
 @dataclass(slots=True)
 class RefusedAttempts:
-    """First attempts of refused clients by request, the oldest first."""
+    """First attempts of refused clients by request, the latest last."""
 
     by_key: OrderedDict[RequestKey, FirstAttempt] = field(
         default_factory=OrderedDict
--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -152,6 +152,7 @@
         job.deadline,
         job.is_retry,
         job.is_nested,
+        job.has_reservation,
     )
     now = gate.reactor.seconds()
     admitted = admit(gate.queue, entry, now, may_wait=job.may_wait)
--- a/marjoramlead/target_queue.py
+++ b/marjoramlead/target_queue.py
@@ -73,14 +73,14 @@
     if now >= entry.deadline:
         return Refusal(Reason.DEADLINE, Verdict.NOT_RUN, 0)
     if not queue.waiting and can_start(queue, now):
-        record_arrival(queue.statistics, entry.route, now)
+        _count_arrival(queue, entry, now)
         _start(queue, entry, now)
         return True
     extended_entry = extend_short_objective(queue, entry, now)
     refusal = refuse_if_too_late(queue, extended_entry, now)
     if refusal is None and not may_wait:
         return Refusal(Reason.NO_ROOM, Verdict.NOT_RUN, MIN_RETRY_AFTER_S)
-    record_arrival(queue.statistics, entry.route, now)
+    _count_arrival(queue, entry, now)
     if refusal is None:
         queue.waiting[entry.number] = extended_entry
         return False
@@ -167,6 +167,16 @@
     return refuse_if_too_late(queue, entry, now)
 
 
+def _count_arrival(queue: TargetQueue, entry: QueueEntry, now: float) -> None:
+    record_arrival(
+        queue.statistics,
+        entry.route,
+        rank_of(queue, entry, now),
+        expected_service_time(queue, entry, now),
+        now,
+    )
+
+
 def _start(queue: TargetQueue, entry: QueueEntry, now: float) -> None:
     queue.running[entry.number] = (entry, now)
     record_start(
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -14,6 +14,10 @@
 # the started requests that end because one of their calls was refused.
 MIN_GOODPUT = 0.9
 MAX_ABANDONED = 0.02
+# Share of the clients that return when told to, and are refused again.
+MAX_REFUSED_AGAIN = 0.02
+# Largest share of the answers that may come after the latency objective.
+MAX_LATE = 0.35
 
 
 @pytest.fixture(scope='module')
@@ -35,3 +39,14 @@
         goodput = overloaded.outcomes[kind.path, 'in_time']
         capacity = at_capacity.outcomes[kind.path, 'in_time']
         assert goodput >= MIN_GOODPUT * capacity, kind.path
+
+
+def test_client_that_returns_when_told_is_not_refused_again(overloaded):
+    returns = overloaded.returns
+    assert returns.total()
+    assert returns[503] <= MAX_REFUSED_AGAIN * returns.total()
+
+
+def test_late_answers_do_not_crowd_out_answers_in_time(overloaded):
+    late = overloaded.count('late')
+    assert late <= MAX_LATE * (late + overloaded.count('in_time'))
