Compare targets by the service time of the request's own route

Cause: a sender compared targets by the mean service time over all routes of each. The target that ran short calls alone had the lowest mean and so got all of them, while the others ran the long requests alone.

A load report now tells the service time of the route that it answers, and a sender keeps one for each route of a target. One that is not known yet counts as 0, so that each target is tried.

test_requests_of_a_short_route_are_not_all_sent_to_one_target failed before: t1 came first 20 times of 20.

--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -198,6 +198,7 @@
         dispatcher.data_centre,
         own_entry.target_id if own_entry else '',
         len(request.body),
+        request.route.name,
     )
     ranked = rank_targets(dispatcher.balancer, usable, query, now)
     return ranked[0] if ranked else None
@@ -283,7 +284,8 @@
         raise
     now = dispatcher.reactor.seconds()
     stats = dispatcher.balancer.stats_of(job.target_id)
-    record_load_report(stats, load_report(gate.queue, now), now)
+    load = load_report(gate.queue, now, job.route)
+    record_load_report(stats, load, now, job.route)
     return outcome
 
 
--- a/marjoramlead/hop_client.py
+++ b/marjoramlead/hop_client.py
@@ -195,7 +195,7 @@
     report = decoded.ok
     stats = client.balancer.stats_of(job.target_id)
     record_load_report(
-        stats, load_from_report(report), client.reactor.seconds()
+        stats, load_from_report(report), client.reactor.seconds(), job.route
     )
     client.on_revision(report['revision'])
     refusal = refusal_from_report(report)
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -57,7 +57,7 @@
     if raw:
         _handle_job(gate, req, raw[0])
     elif path == FATE_PATH:
-        _respond_when_done(gate, req, _answer_fate_query(gate, req))
+        _respond_when_done(gate, req, '', _answer_fate_query(gate, req))
     elif path == FEED_PATH:
         answer_feed_read(feed_server, req)
     else:
@@ -75,18 +75,21 @@
         )
         return
     req.channel.transport.write(ACKNOWLEDGEMENT)
-    _respond_when_done(gate, req, _serve_job(gate, req, decoded.ok))
+    terms = decoded.ok
+    serving = _serve_job(gate, req, terms)
+    _respond_when_done(gate, req, terms['route'], serving)
 
 
 def _respond_when_done(
     gate: TargetGate,
     req: StreamRequest,
+    route: str,
     serving: Coroutine[Deferred[object], object, Outcome],
 ) -> None:
     served = Deferred.fromCoroutine(serving)
     served.addCallbacks(
-        lambda outcome: _send_response(gate, req, outcome),
-        lambda failure: _on_failure(gate, req, failure),
+        lambda outcome: _send_response(gate, req, route, outcome),
+        lambda failure: _on_failure(gate, req, route, failure),
     )
 
 
@@ -167,11 +170,11 @@
 
 
 def _send_response(
-    gate: TargetGate, req: StreamRequest, outcome: Outcome
+    gate: TargetGate, req: StreamRequest, route: str, outcome: Outcome
 ) -> None:
     now = gate.reactor.seconds()
     refusal = outcome if isinstance(outcome, Refusal) else None
-    load = load_report(gate.queue, now)
+    load = load_report(gate.queue, now, route)
     report = encode_report(load, refusal, gate.mesh_state.revision)
     if isinstance(outcome, Reply):
         response = response_from_reply(outcome)
@@ -187,10 +190,11 @@
 def _on_failure(
     gate: TargetGate,
     req: StreamRequest,
+    route: str,
     failure: Failure,
 ) -> None:
     if failure.check(CancelledError):  # the sender has disconnected
         return
     emit('bug', error=failure.getTraceback())
     refusal = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, 0)
-    _send_response(gate, req, refusal)
+    _send_response(gate, req, route, refusal)
--- a/marjoramlead/placement.py
+++ b/marjoramlead/placement.py
@@ -77,6 +77,8 @@
         not be reached.
     consecutive_failures
         Number of failures in a row to reach the host.
+    service_times
+        Last reported service time in seconds, by route.
     failure_rate
         Exponential moving average of the share of requests that the target
         failed or refused, as of ``failure_rate_at``.
@@ -85,6 +87,7 @@
     report: LoadReport | None = None
     reported_at: float = 0
     sent_since_report: int = 0
+    service_times: dict[str, float] = field(default_factory=dict)
     backoff_until: float = 0
     consecutive_failures: int = 0
     failure_rate: float = 0
@@ -102,11 +105,14 @@
         Id of the target on the sender's own host; empty if there is none.
     body_bytes
         Size of the request's body.
+    route
+        Name of the request's route.
     """
 
     data_centre: str
     local_target_id: str
     body_bytes: int
+    route: str
 
 
 @dataclass(slots=True)
@@ -148,7 +154,9 @@
     scored = [
         (
             balancer.stats_of(entry.target_id).backoff_until > now,
-            estimate_response_s(balancer.stats_of(entry.target_id), now)
+            estimate_response_s(
+                balancer.stats_of(entry.target_id), now, query.route
+            )
             + _network_penalty_s(entry, query),
             balancer.rng.random(),
             entry,
@@ -159,23 +167,35 @@
     return [ranked[3] for ranked in scored]
 
 
-def estimate_response_s(stats: TargetStats, now: float) -> float:
-    """Estimate a target's response time in seconds, without the network."""
+def estimate_response_s(stats: TargetStats, now: float, route: str) -> float:
+    """Estimate a target's response time in seconds, without the network.
+
+    Only service times of the same route are compared. A mean over all routes
+    would send every request of one route to the target that happens to run
+    the shortest ones. A service time that is not known yet counts as 0, so
+    that the target gets a request.
+    """
     penalty = failure_rate(stats, now) * FAILURE_PENALTY_S
     report = stats.report
     if report is None:
         return DEFAULT_SERVICE_TIME_S * stats.sent_since_report + penalty
-    service_time = report.work_s or DEFAULT_SERVICE_TIME_S
+    service_time = stats.service_times.get(route, 0)
     freshness = max(0, 1 - (now - stats.reported_at) / REPORT_MAX_AGE_S)
     excess = max(0, stats.sent_since_report + 1 - report.room)
-    extra_wait = excess * service_time / max(1, report.room + 1)
-    return report.work_s + freshness * (report.wait_s + extra_wait) + penalty
+    extra_wait = (
+        excess
+        * (service_time or DEFAULT_SERVICE_TIME_S)
+        / max(1, report.room + 1)
+    )
+    return service_time + freshness * (report.wait_s + extra_wait) + penalty
 
 
 def record_load_report(
-    stats: TargetStats, report: LoadReport, now: float
+    stats: TargetStats, report: LoadReport, now: float, route: str
 ) -> None:
     """Store a load report and end the backoff of the target's host."""
+    if report.work_s:
+        stats.service_times[route] = report.work_s
     stats.report = report
     stats.reported_at = now
     stats.sent_since_report = 0
--- a/marjoramlead/queue_estimates.py
+++ b/marjoramlead/queue_estimates.py
@@ -75,7 +75,8 @@
     wait_s
         Expected wait in seconds of one more request, after all waiting ones.
     work_s
-        Mean service time in seconds.
+        Mean service time in seconds of the route that the report is for; 0 if
+        the target has not answered a request of that route.
     """
 
     room: int
@@ -83,18 +84,17 @@
     work_s: float
 
 
-def load_report(queue: TargetQueue, now: float) -> LoadReport:
-    """Return the current load report of the target."""
+def load_report(queue: TargetQueue, now: float, route: str) -> LoadReport:
+    """Return the current load report for the sender of a request."""
     active = len(queue.running) + len(queue.waiting)
     room = max(0, queue.slots - active)
     if now < queue.cold_until:
         room = min(room, int(available_tokens(queue, now)))
+    work_s = queue.statistics.service_times.get(route, 0)
     if room:
-        return LoadReport(room, 0, queue.statistics.mean_service_time)
+        return LoadReport(room, 0, work_s)
     start = _estimate_start(queue, queue.waiting.values(), now)
-    return LoadReport(
-        0, max(0, start - now), queue.statistics.mean_service_time
-    )
+    return LoadReport(0, max(0, start - now), work_s)
 
 
 def scheduling_key(
--- a/marjoramlead/sidecar_status.py
+++ b/marjoramlead/sidecar_status.py
@@ -17,6 +17,7 @@
 from marjoramlead.metrics import Metrics, render_metrics
 from marjoramlead.placement import (
     BalancerState,
+    TargetStats,
     estimate_response_s,
     failure_rate,
 )
@@ -74,7 +75,7 @@
             'address': f'{entry.address[0]}:{entry.address[1]}',
             'state': _state_of(mesh_state, balancer, key, now),
             'slots': entry.slots,
-            'expected_s': estimate_response_s(
+            'expected_s': _slowest_response_s(
                 balancer.stats_of(entry.target_id), now
             ),
             'failure_rate': failure_rate(
@@ -85,6 +86,12 @@
     ]
 
 
+def _slowest_response_s(stats: TargetStats, now: float) -> float:
+    """Estimate the response time of the route that takes longest."""
+    routes = stats.service_times or ('',)
+    return max(estimate_response_s(stats, now, route) for route in routes)
+
+
 def queue_view(queue: TargetQueue, now: float) -> QueueView:
     """Describe the local target's queue."""
     return {
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -267,7 +267,7 @@
     started_at: float,
 ) -> None:
     now = gate.reactor.seconds()
-    load = load_report(gate.queue, now)
+    load = load_report(gate.queue, now, job.route)
     if isinstance(outcome, Reply):
         status_or_reason, verdict = str(outcome.status), Verdict.RAN
     else:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -14,7 +14,7 @@
 )
 from marjoramlead.target_queue import LoadReport
 
-SENDER = PlacementQuery('a', 't0', 0)
+SENDER = PlacementQuery('a', 't0', 0, 'r')
 
 
 def target(name, data_centre='a'):
@@ -31,27 +31,33 @@
 
 def test_target_without_a_report_gets_requests():
     balancer = BalancerState(Random(1))
-    record_load_report(balancer.stats_of('t1'), LoadReport(0, 0.5, 0.2), 1.0)
+    record_load_report(
+        balancer.stats_of('t1'), LoadReport(0, 0.5, 0.2), 1.0, 'r'
+    )
     assert ranked(balancer, [target('t1'), target('t2')])[0] == 't2'
 
 
 def test_new_target_is_tried_although_another_one_is_fast():
     balancer = BalancerState(Random(1))
     targets = [target('t1'), target('t2')]
-    record_load_report(balancer.stats_of('t1'), LoadReport(4, 0, 0.03), 1.0)
+    record_load_report(
+        balancer.stats_of('t1'), LoadReport(4, 0, 0.03), 1.0, 'r'
+    )
     assert ranked(balancer, targets)[0] == 't2'
     record_send(balancer.stats_of('t2'))
     assert ranked(balancer, targets)[0] == 't1'
-    record_load_report(balancer.stats_of('t2'), LoadReport(4, 0, 0), 1.0)
+    record_load_report(balancer.stats_of('t2'), LoadReport(4, 0, 0), 1.0, 'r')
     assert ranked(balancer, targets)[0] == 't2'
-    record_load_report(balancer.stats_of('t2'), LoadReport(0, 0.2, 0), 1.0)
+    record_load_report(balancer.stats_of('t2'), LoadReport(0, 0.2, 0), 1.0, 'r')
     assert ranked(balancer, targets)[0] == 't1'
 
 
 def test_unreachable_host_comes_last_during_its_backoff():
     balancer = BalancerState(Random(1))
     record_unreachable_host(balancer.stats_of('t1'), 1.0)
-    record_load_report(balancer.stats_of('t2'), LoadReport(0, 0.9, 0.2), 1.0)
+    record_load_report(
+        balancer.stats_of('t2'), LoadReport(0, 0.9, 0.2), 1.0, 'r'
+    )
     targets = [target('t1'), target('t2')]
     assert ranked(balancer, targets)[0] == 't2'
     assert ranked(balancer, targets, now=5.0)[0] == 't1'
@@ -59,12 +65,16 @@
 
 def test_large_body_stays_in_its_data_centre_unless_the_wait_is_long():
     balancer = BalancerState(Random(1))
-    upload = PlacementQuery('a', 't0', 60_000)
+    upload = PlacementQuery('a', 't0', 60_000, 'r')
     remote = target('t2', 'b')
-    record_load_report(balancer.stats_of('t2'), LoadReport(4, 0, 0.1), 1.0)
-    record_load_report(balancer.stats_of('t1'), LoadReport(0, 0.3, 0.1), 1.0)
+    record_load_report(balancer.stats_of('t2'), LoadReport(4, 0, 0.1), 1.0, 'r')
+    record_load_report(
+        balancer.stats_of('t1'), LoadReport(0, 0.3, 0.1), 1.0, 'r'
+    )
     assert ranked(balancer, [target('t1'), remote], upload)[0] == 't1'
-    record_load_report(balancer.stats_of('t1'), LoadReport(0, 2.0, 0.1), 1.0)
+    record_load_report(
+        balancer.stats_of('t1'), LoadReport(0, 2.0, 0.1), 1.0, 'r'
+    )
     assert ranked(balancer, [target('t1'), remote], upload)[0] == 't2'
 
 
@@ -73,7 +83,7 @@
     targets = [target(f't{number}') for number in range(1, 5)]
     for each in targets:
         record_load_report(
-            balancer.stats_of(each.target_id), LoadReport(2, 0, 0.1), 1.0
+            balancer.stats_of(each.target_id), LoadReport(2, 0, 0.1), 1.0, 'r'
         )
     counts = dict.fromkeys((each.target_id for each in targets), 0)
     for _each in range(40):
@@ -88,17 +98,34 @@
     targets = [target('t1'), target('t2')]
     for each in targets:
         record_load_report(
-            balancer.stats_of(each.target_id), LoadReport(2, 0, 0.1), 1.0
+            balancer.stats_of(each.target_id), LoadReport(2, 0, 0.1), 1.0, 'r'
         )
     for number in range(20):
         refusing = balancer.stats_of('t1')
         update_failure_rate(refusing, 1.0, has_failed=bool(number % 2))
-    record_load_report(balancer.stats_of('t2'), LoadReport(0, 0.2, 0.1), 1.0)
+    record_load_report(
+        balancer.stats_of('t2'), LoadReport(0, 0.2, 0.1), 1.0, 'r'
+    )
     assert ranked(balancer, targets)[0] == 't2'
     for each in targets:
         record_load_report(
-            balancer.stats_of(each.target_id), LoadReport(2, 0, 0.1), 12.0
+            balancer.stats_of(each.target_id), LoadReport(2, 0, 0.1), 12.0, 'r'
         )
     record_send(balancer.stats_of('t2'))
     record_send(balancer.stats_of('t2'))
     assert ranked(balancer, targets, now=12.0)[0] == 't1'
+
+
+def test_requests_of_a_short_route_are_not_all_sent_to_one_target():
+    balancer = BalancerState(Random(1))
+    targets = [target('t1'), target('t2')]
+    call = SENDER._replace(route='call')
+    for name, route, work_s in (
+        ('t1', 'call', 0.02),
+        ('t2', 'call', 0.02),
+        ('t2', 'order', 0.14),
+    ):
+        report = LoadReport(2, 0, work_s)
+        record_load_report(balancer.stats_of(name), report, 1.0, route)
+    first = {ranked(balancer, targets, call)[0] for _each in range(20)}
+    assert first == {'t1', 't2'}
--- a/tests/test_target_queue.py
+++ b/tests/test_target_queue.py
@@ -337,8 +337,8 @@
 def test_cold_target_reports_no_more_room_than_its_rate_allows():
     queue = TargetQueue(slots=9)
     set_cold_rate(queue, 3, 11)
-    assert load_report(queue, 0).room <= 2
-    assert load_report(queue, 3.1).room == 9
+    assert load_report(queue, 0, 'r').room <= 2
+    assert load_report(queue, 3.1, 'r').room == 9
 
 
 def full_queue():
