Keep slots from requests past their objective while others need them all

Cause: a slot that was free for a moment went to any request, also to one whose latency objective had passed. While the demand in time exceeds the slots, the next request in time is only milliseconds away, and finds the slot taken for the whole service time.

A request past its objective now gets a slot only if the demand in time leaves one, or with a reservation.

--- a/marjoramlead/queue_estimates.py
+++ b/marjoramlead/queue_estimates.py
@@ -20,6 +20,7 @@
     'LoadReport',
     'expected_service_time',
     'extend_short_objective',
+    'is_crowded_out',
     'load_report',
     'rank_of',
     'refuse_if_too_late',
@@ -167,15 +168,18 @@
     unless it is expected to meet it after its wait as well; otherwise all
     answers would be late during a long overload. A request that is late already
     only has to meet its deadline, and so does a nested one, or one with a
-    reservation.
+    reservation. While the demand in time takes all slots, late requests are
+    refused.
     """
+    if is_crowded_out(queue, entry, now):
+        return _overload_refusal(queue, entry, 0, now)
+    is_late, _priority = rank_of(queue, entry, now)
     expected_end = (
         now
         + _expected_wait(queue, entry, now)
         + expected_service_time(queue, entry, now)
     )
     deadline_left = entry.deadline - now
-    is_late, _priority = rank_of(queue, entry, now)
     if entry.is_nested or entry.has_reservation:
         latest_end = now + DEADLINE_SHARE * deadline_left
     elif is_late:
@@ -194,6 +198,18 @@
     )
 
 
+def is_crowded_out(queue: TargetQueue, entry: QueueEntry, now: float) -> bool:
+    """Return whether a late request would take a slot from those in time.
+
+    A request whose objective is still ahead, but too short for this target, is
+    not affected: the estimated service time would never be corrected.
+    """
+    rank = rank_of(queue, entry, now)
+    is_late, _priority = rank
+    is_past_objective = is_late and now >= entry.soft_deadline
+    return is_past_objective and _utilisation_ahead(queue, rank, now) >= 1
+
+
 def _expected_wait(queue: TargetQueue, entry: QueueEntry, now: float) -> float:
     """Estimate a request's wait, allowing for others that overtake it."""
     key_of = scheduling_key(queue, now)
@@ -202,12 +218,14 @@
     keyed = sorted(each for each in keyed if each[0] < own_key)
     ahead = [each[1] for each in keyed]
     start = _estimate_start(queue, ahead, now)
-    utilisation = utilisation_ahead_of(
-        queue.statistics, own_key[0], queue.slots, now
-    )
+    utilisation = _utilisation_ahead(queue, own_key[0], now)
     return (start - now) / (1 - min(utilisation, MAX_UTILISATION))
 
 
+def _utilisation_ahead(queue: TargetQueue, rank: Rank, now: float) -> float:
+    return utilisation_ahead_of(queue.statistics, rank, queue.slots, now)
+
+
 def _overload_refusal(
     queue: TargetQueue, entry: QueueEntry, excess_s: float, now: float
 ) -> Refusal:
--- a/marjoramlead/target_queue.py
+++ b/marjoramlead/target_queue.py
@@ -21,6 +21,7 @@
     LoadReport,
     expected_service_time,
     extend_short_objective,
+    is_crowded_out,
     load_report,
     rank_of,
     refuse_if_too_late,
@@ -72,7 +73,8 @@
     """
     if now >= entry.deadline:
         return Refusal(Reason.DEADLINE, Verdict.NOT_RUN, 0)
-    if not queue.waiting and can_start(queue, now):
+    has_room = not queue.waiting and can_start(queue, now)
+    if has_room and not is_crowded_out(queue, entry, now):
         _count_arrival(queue, entry, now)
         _start(queue, entry, now)
         return True
--- a/tests/test_target_queue.py
+++ b/tests/test_target_queue.py
@@ -279,6 +279,21 @@
     assert isinstance(result, Refusal)
 
 
+def test_late_request_gets_no_slot_that_the_demand_in_time_needs():
+    admitted = []
+    for in_time_per_s in (5, 40):
+        queue = TargetQueue(slots=2)
+        queue.statistics.service_times['r'] = 0.1
+        for number in range(in_time_per_s * 2):
+            now = number / in_time_per_s
+            admit(queue, make_entry(number, now), now, may_wait=False)
+            remove_running(queue, number)
+        late = make_entry(200, 2, objective=0)
+        admitted.append(admit(queue, late, 2, may_wait=True))
+    assert admitted[0] is True
+    assert isinstance(admitted[1], Refusal)
+
+
 def test_wait_for_the_first_of_many_slots_is_short():
     queue = TargetQueue(slots=4)
     queue.statistics.service_times['r'] = 0.16
