Offer a request to one target once an overload is known

Cause: each request that the service refuses is offered to three targets first, although those before it were refused by all three.

A sender counts what a service has lately refused, by route. Once that is more than a tenth, the refusal of one target is taken as the answer. Nested requests and reservations are still offered to three. Not taken: a pause for each target that refused; with 32 targets, a sender offers to each one every few seconds.

test_request_is_offered_to_one_target_once_an_overload_is_known failed before.

--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -31,6 +31,11 @@
     update_failure_rate,
 )
 from marjoramlead.routes import Route
+from marjoramlead.service_load import (
+    ServiceLoad,
+    is_overloaded,
+    record_dispatch,
+)
 from marjoramlead.target_gate import TargetGate
 from marjoramlead.target_queue import load_report
 from marjoramlead.target_runs import abandon_job, serve_job
@@ -51,6 +56,8 @@
 # late. Further targets are ranked as slower, and under overload the offers to
 # them would take more processor time than the requests that are served.
 MAX_OVERLOAD_REFUSALS: Final = 3
+# The same while the service is known to be overloaded.
+MAX_REFUSALS_IN_OVERLOAD: Final = 1
 # Retry-After value if no target has reported when it expects a free slot.
 DEFAULT_RETRY_AFTER_S: Final = 0.2
 # Minimum time left for a retry. One with less time cannot be answered before
@@ -115,6 +122,7 @@
     metrics: Metrics
     data_centre: str
     calling_service: Callable[[], str]
+    service_load: ServiceLoad = field(default_factory=ServiceLoad)
 
 
 @dataclass(slots=True)
@@ -129,8 +137,11 @@
         Number of attempts in which a target ran or may have run the request.
     offers
         Number of offers made so far.
+    max_overload_refusals
+        Number of targets that may refuse the request because they expect to
+        answer too late.
     overload_refusals
-        Number of targets that expected to answer too late.
+        Number of targets that have done so.
     offered_ids
         Ids of the targets that have been offered the request.
     excluded_ids
@@ -145,6 +156,7 @@
         Last refusal of any kind.
     """
 
+    max_overload_refusals: int = MAX_OVERLOAD_REFUSALS
     has_reached_target: bool = False
     possible_runs: int = 0
     offers: int = 0
@@ -159,7 +171,31 @@
 
 async def dispatch(dispatcher: Dispatcher, request: Request) -> Outcome:
     """Offer a request to targets until one responds or none is left."""
-    attempts = _Attempts()
+    attempts = _begin_attempts(dispatcher, request)
+    outcome = await _dispatch(dispatcher, request, attempts)
+    is_refused = (
+        isinstance(outcome, Refusal) and outcome.reason in OVERLOAD_REASONS
+    )
+    now = dispatcher.reactor.seconds()
+    record_dispatch(
+        dispatcher.service_load, request.route.name, now, is_refused=is_refused
+    )
+    return outcome
+
+
+def _begin_attempts(dispatcher: Dispatcher, request: Request) -> _Attempts:
+    now = dispatcher.reactor.seconds()
+    is_overload_known = is_overloaded(
+        dispatcher.service_load, request.route.name, now
+    )
+    if is_overload_known and not (request.is_nested or request.has_reservation):
+        return _Attempts(MAX_REFUSALS_IN_OVERLOAD)
+    return _Attempts()
+
+
+async def _dispatch(
+    dispatcher: Dispatcher, request: Request, attempts: _Attempts
+) -> Outcome:
     while True:  # noqa: WPS457  # bounded by MAX_OFFERS and the deadline
         target = _choose_target(dispatcher, request, attempts)
         if target is None:
@@ -207,7 +243,7 @@
 def _are_offers_exhausted(attempts: _Attempts) -> bool:
     return (
         attempts.offers >= MAX_OFFERS
-        or attempts.overload_refusals >= MAX_OVERLOAD_REFUSALS
+        or attempts.overload_refusals >= attempts.max_overload_refusals
     )
 
 
--- a/marjoramlead/queue_statistics.py
+++ b/marjoramlead/queue_statistics.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 __all__ = (
+    'DecayingCount',
     'QueueStatistics',
     'Rank',
     'estimate_service_time',
@@ -41,7 +42,7 @@
 
 
 @dataclass(slots=True)
-class _DecayingCount:
+class DecayingCount:
     """A count that decays exponentially."""
 
     count: float = 0
@@ -76,10 +77,10 @@
 
     service_times: dict[str, float] = field(default_factory=dict)
     mean_service_time: float = 0
-    arrived_work: dict[Rank, _DecayingCount] = field(default_factory=dict)
-    started_work: dict[Rank, _DecayingCount] = field(default_factory=dict)
-    arrivals: dict[str, _DecayingCount] = field(default_factory=dict)
-    starts: dict[str, _DecayingCount] = field(default_factory=dict)
+    arrived_work: dict[Rank, DecayingCount] = field(default_factory=dict)
+    started_work: dict[Rank, DecayingCount] = field(default_factory=dict)
+    arrivals: dict[str, DecayingCount] = field(default_factory=dict)
+    starts: dict[str, DecayingCount] = field(default_factory=dict)
 
 
 def record_service_time(
@@ -120,8 +121,8 @@
     now: float,
 ) -> None:
     """Count an arrived request and add its expected service time."""
-    statistics.arrivals.setdefault(route, _DecayingCount()).add(1, now)
-    statistics.arrived_work.setdefault(rank, _DecayingCount()).add(
+    statistics.arrivals.setdefault(route, DecayingCount()).add(1, now)
+    statistics.arrived_work.setdefault(rank, DecayingCount()).add(
         service_time, now
     )
 
@@ -134,8 +135,8 @@
     now: float,
 ) -> None:
     """Count a started request and add its expected service time."""
-    statistics.starts.setdefault(route, _DecayingCount()).add(1, now)
-    statistics.started_work.setdefault(rank, _DecayingCount()).add(
+    statistics.starts.setdefault(route, DecayingCount()).add(1, now)
+    statistics.started_work.setdefault(rank, DecayingCount()).add(
         service_time, now
     )
 
--- a/tests/test_platform_mesh.py
+++ b/tests/test_platform_mesh.py
@@ -131,6 +131,23 @@
     assert 1 <= offers._value.get() - count <= 3
 
 
+def test_request_is_offered_to_one_target_once_an_overload_is_known():
+    mesh = ready_mesh(
+        *('web' for _host in range(8)), 'api', slots=1, work_s=0.3
+    )
+    sender = mesh.hosts[-1]
+    for duration_s in (0.5, 0.5, 0.5, 0.05):
+        for _request in range(16):
+            mesh.send(sender)
+        mesh.advance(duration_s)
+    offers = sender.sidecar.metrics.offers.labels('overload')
+    count = offers._value.get()
+    sent = mesh.send(sender)
+    mesh.advance(0.05)
+    assert sent.status == 503
+    assert offers._value.get() == count + 1
+
+
 def test_refused_client_is_served_if_it_returns_when_told():
     mesh = ready_mesh('web', slots=1)
     paths = [f'/safe/{number}' for number in range(30)]
