Keep the rate of a target within the limit that it names

Cause: nothing read the header; slots alone bound the rate.

The node beside the target is the only way to it, so it paces starts by one token bucket, for requests of other nodes, of its own clients and calls alike. The limit holds until a response without it; a probe, which may be answered without notices, does not end it. A limit that is not a finite number from 0 on is logged and ignored. A target that accepts less than one request in four seconds still gets that, because only its responses tell when the limit ends. When this node restarts, senders pass on the limit that they have heard with each request, until the target has responded.

--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -37,6 +37,7 @@
     record_dispatch,
 )
 from marjoramlead.target_gate import TargetGate
+from marjoramlead.target_notices import read_notice
 from marjoramlead.target_queue import load_report
 from marjoramlead.target_runs import abandon_job, serve_job
 from marjoramlead.upstream import HeaderList, Reply
@@ -70,7 +71,9 @@
     (Reason.NO_ROOM, Reason.NEVER_SEEN),
 )
 # Refusal reasons of a target that expects to answer too late.
-OVERLOAD_REASONS: Final = frozenset((Reason.OVERLOAD, Reason.COLD))
+OVERLOAD_REASONS: Final = frozenset(
+    (Reason.OVERLOAD, Reason.COLD, Reason.RATE_LIMIT),
+)
 
 
 class Request(NamedTuple):
@@ -290,6 +293,7 @@
     *,
     may_wait: bool,
 ) -> Job:
+    stats = dispatcher.balancer.stats_of(target.target_id)
     return Job(
         request_id=request.request_id,
         attempt=attempts.offers,
@@ -304,6 +308,7 @@
         may_wait=may_wait,
         is_nested=request.is_nested,
         has_reservation=request.has_reservation,
+        rate_limit_per_s=stats.rate_limit_per_s,
         method=request.method,
         uri=request.uri,
         headers=request.headers,
@@ -353,6 +358,7 @@
     """
     _update_failure_rate(dispatcher, target, outcome)
     if isinstance(outcome, Reply):
+        _apply_notice(dispatcher, target, outcome)
         attempts.last_reply = outcome
         attempts.has_reached_target = True
         attempts.possible_runs += 1
@@ -373,6 +379,20 @@
     return outcome.reached_target and not _try_spend_retry(dispatcher, request)
 
 
+def _apply_notice(
+    dispatcher: Dispatcher, target: TargetEntry, reply: Reply
+) -> None:
+    """Remember what the target says of itself in a response.
+
+    Its own node enforces it, but may restart and forget it.
+    """
+    header_names = dispatcher.gate.header_names
+    notice = read_notice(reply.headers, header_names, target.target_id)
+    if notice.is_limit_valid:
+        stats = dispatcher.balancer.stats_of(target.target_id)
+        stats.rate_limit_per_s = notice.rate_limit_per_s
+
+
 def _update_failure_rate(
     dispatcher: Dispatcher,
     target: TargetEntry,
--- a/marjoramlead/explanations.py
+++ b/marjoramlead/explanations.py
@@ -96,6 +96,11 @@
         'its queue is full or too slow for the wait limit.',
         'Add targets; raise slots only if the targets can sustain more.',
     ),
+    Reason.RATE_LIMIT: (
+        'The target accepts only the rate of requests that it names in its '
+        'responses.',
+        'Check the target, or add targets.',
+    ),
     Reason.SILENT: (
         'No response arrived within the wait limit.',
         'Check the target: it may be hung or unreachable.',
--- a/marjoramlead/header_names.py
+++ b/marjoramlead/header_names.py
@@ -33,6 +33,9 @@
     cold_ms
         Milliseconds until the target is no longer cold; in responses to
         probes.
+    rate_limit
+        Requests per second that the target accepts from all nodes together,
+        for as long as its responses say so.
     """
 
     request_id: bytes = b'x-marjoram-request-id'
@@ -44,6 +47,7 @@
     load: bytes = b'x-marjoram-load'
     target_id: bytes = b'x-marjoram-target-id'
     cold_ms: bytes = b'x-marjoram-cold-ms'
+    rate_limit: bytes = b'x-marjoram-rate-limit'
 
 
 DEFAULT_HEADER_NAMES: Final = HeaderNames()
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -73,6 +73,8 @@
         Whether another request, which is running, needs the answer.
     has_reservation
         Whether the client was refused before and told to return by now.
+    rate_limit_per_s
+        Limit that the target has named to the sender; None if it names none.
     soft_deadline
         Latest time of a response that meets the route's latency objective, on
         this node's clock.
@@ -93,6 +95,7 @@
     may_wait: bool
     is_nested: bool
     has_reservation: bool
+    rate_limit_per_s: float | None
     method: bytes
     uri: bytes
     headers: HeaderList
@@ -120,6 +123,8 @@
         'is_nested': job.is_nested,
         'has_reservation': job.has_reservation,
     }
+    if job.rate_limit_per_s is not None:
+        terms['rate_limit_per_s'] = job.rate_limit_per_s
     return msgspec.json.encode(terms)
 
 
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -138,6 +138,7 @@
         may_wait=terms['may_wait'],
         is_nested=terms.get('is_nested', False),
         has_reservation=terms.get('has_reservation', False),
+        rate_limit_per_s=terms.get('rate_limit_per_s'),
         method=req.method,
         uri=req.uri,
         headers=headers,
--- a/marjoramlead/placement.py
+++ b/marjoramlead/placement.py
@@ -79,6 +79,9 @@
         Number of failures in a row to reach the host.
     service_times
         Last reported service time in seconds, by route.
+    rate_limit_per_s
+        Requests per second that the target has said it accepts; None if it
+        names no limit.
     failure_rate
         Exponential moving average of the share of requests that the target
         failed or refused, as of ``failure_rate_at``.
@@ -88,6 +91,7 @@
     reported_at: float = 0
     sent_since_report: int = 0
     service_times: dict[str, float] = field(default_factory=dict)
+    rate_limit_per_s: float | None = None
     backoff_until: float = 0
     consecutive_failures: int = 0
     failure_rate: float = 0
--- a/marjoramlead/platform/names.py
+++ b/marjoramlead/platform/names.py
@@ -30,6 +30,7 @@
     load=b'x-server-load',
     target_id=b'x-instance-id',
     cold_ms=b'x-cold-ms',
+    rate_limit=b'server-limit',
 )
 
 # Separates the id of a running request from the rest of the id of a call that
--- a/marjoramlead/queue_estimates.py
+++ b/marjoramlead/queue_estimates.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
-from marjoramlead.queue_state import QueueEntry, TargetQueue, available_tokens
+from marjoramlead.queue_state import (
+    QueueEntry,
+    TargetQueue,
+    available_tokens,
+    next_token_time,
+    start_rate,
+)
 from marjoramlead.queue_statistics import (
     Rank,
     estimate_service_time,
@@ -89,7 +95,7 @@
     """Return the current load report for the sender of a request."""
     active = len(queue.running) + len(queue.waiting)
     room = max(0, queue.slots - active)
-    if now < queue.cold_until:
+    if start_rate(queue, now) is not None:
         room = min(room, int(available_tokens(queue, now)))
     work_s = queue.statistics.service_times.get(route, 0)
     if room:
@@ -235,7 +241,7 @@
     return before it. During a long overload these times soon lie beyond the
     clients' deadlines.
     """
-    reason = Reason.COLD if now < queue.cold_until else Reason.OVERLOAD
+    reason = _refusal_reason(queue, now)
     return_at = max(now + excess_s, queue.reserved_until)
     retry_after = min(
         MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, return_at - now)
@@ -248,6 +254,14 @@
     return Refusal(reason, Verdict.NOT_RUN, retry_after)
 
 
+def _refusal_reason(queue: TargetQueue, now: float) -> Reason:
+    if now < queue.cold_until:
+        return Reason.COLD
+    if queue.rate_limit_per_s is not None:
+        return Reason.RATE_LIMIT
+    return Reason.OVERLOAD
+
+
 def _estimate_start(
     queue: TargetQueue,
     ahead: Iterable[QueueEntry],
@@ -269,7 +283,7 @@
         ahead_count += 1
         if ahead_count >= free:
             start += expected_service_time(queue, entry, now) / queue.slots
-    return max(start, _earliest_cold_start(queue, ahead_count, now))
+    return max(start, _earliest_token(queue, ahead_count, now))
 
 
 def _release_rate(queue: TargetQueue, now: float) -> float:
@@ -286,12 +300,9 @@
     return rate
 
 
-def _earliest_cold_start(
-    queue: TargetQueue, ahead_count: int, now: float
-) -> float:
-    if now >= queue.cold_until:
-        return now
-    missing_tokens = max(0, ahead_count + 1 - available_tokens(queue, now))
-    return min(
-        queue.cold_until, now + missing_tokens / max(queue.cold_per_s, 1)
-    )
+def _earliest_token(queue: TargetQueue, ahead_count: int, now: float) -> float:
+    """Estimate when the rate allows a start after some others."""
+    earliest = next_token_time(queue, ahead_count + 1, now)
+    if queue.rate_limit_per_s is None and now < queue.cold_until:
+        return min(queue.cold_until, earliest)
+    return earliest
--- a/marjoramlead/queue_state.py
+++ b/marjoramlead/queue_state.py
@@ -13,13 +13,19 @@
     'TargetQueue',
     'available_tokens',
     'can_start',
+    'next_token_time',
     'retry_share',
     'set_cold_rate',
+    'set_rate_limit',
+    'start_rate',
     'take_token',
 )
 
-# Capacity of the token bucket that limits the rate of a cold target.
-COLD_BURST_REQUESTS: Final = 2.0
+# Capacity of the token bucket that limits the rate of a target.
+BURST_REQUESTS: Final = 2.0
+# A target that accepts less still gets a request at this rate, because only its
+# responses tell when the limit ends.
+MIN_RATE_PER_S: Final = 0.25
 
 
 class QueueEntry(NamedTuple):
@@ -64,22 +70,26 @@
     cold_per_s, cold_until
         Maximum number of requests started per second, and the time until
         which this limit applies.
+    rate_limit_per_s
+        Number of requests per second that the target itself accepts; None if
+        it names no limit.
     reserved_until
         Time up to which slots are reserved for refused clients that were told
         to return.
     tokens
         Tokens left in the bucket at ``tokens_updated_at``. Each start takes
-        one; they are refilled at ``cold_per_s``.
+        one; they are refilled at ``start_rate``.
     """
 
     slots: int = 0
     cold_per_s: float = 0
     cold_until: float = 0
+    rate_limit_per_s: float | None = None
     running: dict[int, tuple[QueueEntry, float]] = field(default_factory=dict)
     waiting: dict[int, QueueEntry] = field(default_factory=dict)
     statistics: QueueStatistics = field(default_factory=QueueStatistics)
     reserved_until: float = 0
-    tokens: float = COLD_BURST_REQUESTS
+    tokens: float = BURST_REQUESTS
     tokens_updated_at: float = 0
 
 
@@ -89,6 +99,14 @@
     queue.cold_per_s = per_s
 
 
+def set_rate_limit(queue: TargetQueue, per_s: float | None, now: float) -> None:
+    """Limit the rate to what the target accepts; None ends the limit."""
+    if per_s != queue.rate_limit_per_s:
+        queue.tokens = available_tokens(queue, now)
+        queue.tokens_updated_at = now
+        queue.rate_limit_per_s = per_s
+
+
 def retry_share(queue: TargetQueue) -> float:
     """Return the share of running requests that are retries."""
     running = queue.running.values()
@@ -96,17 +114,42 @@
     return retries / len(running) if retries else 0
 
 
+def start_rate(queue: TargetQueue, now: float) -> float | None:
+    """Return how many requests may start per second; None if unlimited."""
+    limits = []
+    if now < queue.cold_until:
+        limits.append(queue.cold_per_s)
+    if queue.rate_limit_per_s is not None:
+        limits.append(queue.rate_limit_per_s)
+    return max(MIN_RATE_PER_S, min(limits)) if limits else None
+
+
 def can_start(queue: TargetQueue, now: float) -> bool:
     """Return whether one more request may start now."""
     if len(queue.running) >= queue.slots:
         return False
-    return now >= queue.cold_until or available_tokens(queue, now) >= 1
+    return available_tokens(queue, now) >= 1
 
 
 def available_tokens(queue: TargetQueue, now: float) -> float:
-    """Return the tokens in the bucket, refilled up to now."""
-    refilled = (now - queue.tokens_updated_at) * queue.cold_per_s
-    return min(COLD_BURST_REQUESTS, queue.tokens + refilled)
+    """Return the tokens in the bucket, refilled up to now.
+
+    The bucket is full while the rate is not limited.
+    """
+    rate = start_rate(queue, now)
+    if rate is None:
+        return BURST_REQUESTS
+    refilled = (now - queue.tokens_updated_at) * rate
+    return min(BURST_REQUESTS, queue.tokens + refilled)
+
+
+def next_token_time(queue: TargetQueue, count: float, now: float) -> float:
+    """Return when the bucket has had a number of tokens more."""
+    rate = start_rate(queue, now)
+    missing_tokens = max(0, count - available_tokens(queue, now))
+    if rate is None or not missing_tokens:
+        return now
+    return now + missing_tokens / rate
 
 
 def take_token(queue: TargetQueue, now: float) -> None:
--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -6,12 +6,14 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from marjoramlead.clock import Clock, Timer
+from marjoramlead.events import emit
 from marjoramlead.header_names import HeaderNames
 from marjoramlead.hops import Job
 from marjoramlead.ledger import AttemptLedger, Outcome
 from marjoramlead.mesh_state import MeshState, TargetEntry
 from marjoramlead.metrics import Metrics
 from marjoramlead.routes import ServiceConfig
+from marjoramlead.target_notices import read_notice
 from marjoramlead.target_queue import (
     QueueEntry,
     TargetQueue,
@@ -20,14 +22,16 @@
     clear_waiting,
     next_start_time,
     remove_running,
+    set_rate_limit,
     start_ready,
 )
-from marjoramlead.upstream import ConnectionPool
+from marjoramlead.upstream import ConnectionPool, HeaderList
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
 __all__ = (
     'TargetGate',
     'acquire_slot',
+    'apply_notice',
     'is_running',
     'not_run_refusal',
     'refuse_if_unavailable',
@@ -56,6 +60,9 @@
         Published entry of the target, or None if it is unknown.
     is_restart_suspected
         Whether the target may have restarted unnoticed since its last response.
+    has_heard_target
+        Whether the target has responded since this node, or the target,
+        started. Until then, the limit that a sender knows is used.
     probed_at
         Time at which the last probe was sent.
     start_timer
@@ -77,6 +84,7 @@
     is_draining: bool = False
     is_restart_suspected: bool = False
     is_probing: bool = False
+    has_heard_target: bool = False
     probed_at: float = 0
     start_timer: Timer | None = None
 
@@ -133,6 +141,30 @@
     )
 
 
+def apply_notice(
+    gate: TargetGate, headers: HeaderList, *, is_probe: bool = False
+) -> None:
+    """Apply what the target says of itself in a response.
+
+    A probe may be answered without notices, so it does not end a limit.
+    """
+    target_entry = gate.target_entry
+    if target_entry is None:
+        return
+    notice = read_notice(headers, gate.header_names, target_entry.target_id)
+    names_limit = notice.rate_limit_per_s is not None
+    if names_limit or (notice.is_limit_valid and not is_probe):
+        gate.has_heard_target = True
+        _set_rate_limit(gate, notice.rate_limit_per_s, gate.reactor.seconds())
+
+
+def _set_rate_limit(gate: TargetGate, per_s: float | None, now: float) -> None:
+    if per_s != gate.queue.rate_limit_per_s:
+        emit('target_limited', per_s=per_s)
+        set_rate_limit(gate.queue, per_s, now)
+        start_waiting_requests(gate, now)
+
+
 async def acquire_slot(
     gate: TargetGate, job: Job, number: int
 ) -> Refusal | None:
@@ -155,6 +187,8 @@
         job.has_reservation,
     )
     now = gate.reactor.seconds()
+    if not gate.has_heard_target and job.rate_limit_per_s is not None:
+        _set_rate_limit(gate, job.rate_limit_per_s, now)
     admitted = admit(gate.queue, entry, now, may_wait=job.may_wait)
     if isinstance(admitted, Refusal):
         return admitted
--- /dev/null
+++ b/marjoramlead/target_notices.py
@@ -0,0 +1,50 @@
+"""What a target says of itself in its responses.
+
+A target in need names the rate of requests that it accepts.
+"""
+
+from math import isfinite
+from typing import NamedTuple
+
+from marjoramlead.events import emit
+from marjoramlead.header_names import HeaderNames
+from marjoramlead.upstream import HeaderList, header_value
+
+__all__ = ('TargetNotice', 'read_notice')
+
+
+class TargetNotice(NamedTuple):
+    """Notices in one response of a target.
+
+    Attributes
+    ----------
+    rate_limit_per_s
+        Requests per second that the target accepts from all nodes together;
+        None if it names no limit.
+    is_limit_valid
+        False if the limit could not be read. The limit known before holds.
+    """
+
+    rate_limit_per_s: float | None
+    is_limit_valid: bool = True
+
+
+def read_notice(
+    headers: HeaderList, header_names: HeaderNames, target_id: str
+) -> TargetNotice:
+    """Read the notices of a target; an invalid limit is logged."""
+    raw = header_value(headers, header_names.rate_limit)
+    if not raw:
+        return TargetNotice(None)
+    rate_limit = _parse_rate(raw)
+    if rate_limit is None:
+        emit('target_notice_refused', target=target_id, limit=raw)
+    return TargetNotice(rate_limit, rate_limit is not None)
+
+
+def _parse_rate(raw: str) -> float | None:
+    try:
+        rate = float(raw)
+    except ValueError:
+        return None
+    return rate if isfinite(rate) and rate >= 0 else None
--- a/marjoramlead/target_probe.py
+++ b/marjoramlead/target_probe.py
@@ -10,6 +10,7 @@
 from marjoramlead.routes import ServiceConfig
 from marjoramlead.target_gate import (
     TargetGate,
+    apply_notice,
     not_run_refusal,
     refuse_if_unavailable,
     refuse_waiting_requests,
@@ -17,7 +18,7 @@
     service_config,
     start_waiting_requests,
 )
-from marjoramlead.target_queue import QueueEntry, set_cold_rate
+from marjoramlead.target_queue import QueueEntry, set_cold_rate, set_rate_limit
 from marjoramlead.upstream import (
     OutgoingRequest,
     SendResult,
@@ -64,6 +65,8 @@
         )
     if is_new:
         gate.queue.statistics.service_times.clear()
+        gate.has_heard_target = False
+        set_rate_limit(gate.queue, None, now)
     if gate.is_restart_suspected:
         suspect_restart(gate)
     start_waiting_requests(gate, now)
@@ -146,6 +149,7 @@
     except ValueError:
         emit('probe_unreadable', cold=cold)
         return
+    apply_notice(gate, send_result.ok.headers, is_probe=True)
     was_cold = now < gate.queue.cold_until
     if cold_left_s or was_cold:
         emit('target_cold', left_s=cold_left_s, status=send_result.ok.status)
--- a/marjoramlead/target_queue.py
+++ b/marjoramlead/target_queue.py
@@ -11,7 +11,8 @@
 by deadline. Among routes of the same priority, a route goes
 first if only a small share of its requests was started, so that no route is
 starved. A request that is not expected to end in time is refused at once, with
-a retry-after time. A cold target is sent requests at a limited, even rate.
+a retry-after time. A target that is cold, or that names a limit, is sent
+requests at an even rate.
 
 This module does no I/O. Times are in seconds on the node's monotonic clock.
 """
@@ -30,10 +31,11 @@
 from marjoramlead.queue_state import (
     QueueEntry,
     TargetQueue,
-    available_tokens,
     can_start,
+    next_token_time,
     retry_share,
     set_cold_rate,
+    set_rate_limit,
     take_token,
 )
 from marjoramlead.queue_statistics import record_arrival, record_start
@@ -52,6 +54,7 @@
     'remove_running',
     'retry_share',
     'set_cold_rate',
+    'set_rate_limit',
     'start_ready',
 )
 
@@ -129,10 +132,7 @@
     """
     if not queue.waiting or len(queue.running) >= queue.slots:
         return None
-    if now >= queue.cold_until:
-        return now
-    missing_tokens = max(0, 1 - available_tokens(queue, now))
-    return now + missing_tokens / max(queue.cold_per_s, 1)
+    return next_token_time(queue, 1, now)
 
 
 def clear_waiting(queue: TargetQueue) -> list[QueueEntry]:
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -14,6 +14,7 @@
 from marjoramlead.target_gate import (
     TargetGate,
     acquire_slot,
+    apply_notice,
     not_run_refusal,
     release_slot,
 )
@@ -223,6 +224,8 @@
     reply = send_result.ok
     header_names = gate.header_names
     if header_value(reply.headers, header_names.not_run):
+        if reply.status != WRONG_TARGET_STATUS:
+            apply_notice(gate, reply.headers)
         return Refusal(
             Reason.TARGET_FULL, Verdict.NOT_RUN, 0, reached_target=True
         )
@@ -236,6 +239,7 @@
         return Refusal(
             Reason.BAD_ANSWER, Verdict.MAY_HAVE_RUN, 0, reached_target=True
         )
+    apply_notice(gate, reply.headers)
     return reply
 
 
--- a/marjoramlead/verdict.py
+++ b/marjoramlead/verdict.py
@@ -36,6 +36,7 @@
     NO_TARGET = 'no_target'
     NOT_READY = 'not_ready'
     OVERLOAD = 'overload'
+    RATE_LIMIT = 'rate_limit'
     SILENT = 'silent'
     TARGET_FAILED = 'target_failed'
     TARGET_FULL = 'target_full'
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -69,6 +69,8 @@
         Highest number of requests that ran concurrently.
     work_s
         Seconds that each request takes.
+    notices
+        Headers that the target adds to all responses but those to probes.
     work_of
         Returns the seconds that one request takes; overrides ``work_s``.
     make_calls
@@ -96,6 +98,7 @@
     most_running: int = 0
     arrivals: list[Arrival] = field(default_factory=list)
     disconnected: list[str] = field(default_factory=list)
+    notices: dict[bytes, bytes] = field(default_factory=dict)
     work_of: Callable[[Arrival], float] | None = None
     make_calls: Callable[[Arrival], Calls] = _call_nothing
 
@@ -175,6 +178,8 @@
             b'X-Server-Load': [b'%d,0,%d' % (target.running, target.slots)],
         },
     )
+    for name, text in target.notices.items():
+        headers.setRawHeaders(name, [text])
     if target.fault != 'unsealed':
         headers.setRawHeaders(b'X-Server-Seal', [b'seal'])
     status = 200 if succeeded and target.fault != 'error' else 500
