Send nothing to a target that says in a response that it leaves

What targets saw (DRAIN): a target that announces its stop in its responses, and not or not yet in the store, went on to get requests.

Cause: as for the limit, nothing read the header.

The node beside the target refuses new and waiting requests from the first such response on, and so does each sender that has received one, since that node may restart and forget it. The notice holds for one run of the target: a start with another start time ends it.

test_target_that_announces_its_stop_gets_no_new_requests failed before, with and without a restart of the node beside the target.

--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -20,7 +20,12 @@
 from marjoramlead.hops import Job
 from marjoramlead.ledger import Outcome
 from marjoramlead.mesh_retry_budget import MeshRetryBudget, try_spend_retry
-from marjoramlead.mesh_state import MeshState, TargetEntry, is_usable
+from marjoramlead.mesh_state import (
+    MeshState,
+    TargetEntry,
+    is_usable,
+    note_leaving,
+)
 from marjoramlead.metrics import Metrics
 from marjoramlead.placement import (
     BalancerState,
@@ -391,6 +396,8 @@
     if notice.is_limit_valid:
         stats = dispatcher.balancer.stats_of(target.target_id)
         stats.rate_limit_per_s = notice.rate_limit_per_s
+    if notice.is_leaving:
+        note_leaving(dispatcher.mesh_state, target)
 
 
 def _update_failure_rate(
--- a/marjoramlead/header_names.py
+++ b/marjoramlead/header_names.py
@@ -36,6 +36,8 @@
     rate_limit
         Requests per second that the target accepts from all nodes together,
         for as long as its responses say so.
+    leaving
+        Set in all responses of a target that is about to stop.
     """
 
     request_id: bytes = b'x-marjoram-request-id'
@@ -48,6 +50,7 @@
     target_id: bytes = b'x-marjoram-target-id'
     cold_ms: bytes = b'x-marjoram-cold-ms'
     rate_limit: bytes = b'x-marjoram-rate-limit'
+    leaving: bytes = b'x-marjoram-leaving'
 
 
 DEFAULT_HEADER_NAMES: Final = HeaderNames()
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -31,7 +31,9 @@
     'confirm_revision',
     'expire_held_targets',
     'find_target_by_address',
+    'is_leaving',
     'is_usable',
+    'note_leaving',
     'remove_unlisted',
 )
 
@@ -111,6 +113,9 @@
         store, with the time until which these targets stay in use.
     superseded
         Ids of targets whose address another target has published later.
+    leaving
+        Ids and start times of the targets that have said in a response that
+        they are about to stop.
     refused_records
         Number of records that could not be used.
     """
@@ -127,6 +132,7 @@
     reconnected_at: float = float('-inf')
     held_until: dict[str, float] = field(default_factory=dict)
     superseded: set[str] = field(default_factory=set)
+    leaving: set[tuple[str, int]] = field(default_factory=set)
     refused_records: int = 0
 
 
@@ -237,10 +243,27 @@
     return expired
 
 
+def note_leaving(mesh_state: MeshState, entry: TargetEntry) -> None:
+    """Record that a target is about to stop, until its next start."""
+    current = {
+        (each.target_id, each.started_ms)
+        for each in mesh_state.targets.values()
+    }
+    mesh_state.leaving &= current
+    mesh_state.leaving.add((entry.target_id, entry.started_ms))
+
+
+def is_leaving(mesh_state: MeshState, entry: TargetEntry) -> bool:
+    """Return whether a target has announced its stop in any way."""
+    return entry.is_draining or (
+        (entry.target_id, entry.started_ms) in mesh_state.leaving
+    )
+
+
 def is_usable(mesh_state: MeshState, entry: TargetEntry) -> bool:
     """Return whether new requests may be sent to a target."""
     return (
-        not entry.is_draining
+        not is_leaving(mesh_state, entry)
         and entry.data_centre not in mesh_state.excluded
         and entry.target_id not in mesh_state.superseded
     )
--- a/marjoramlead/platform/names.py
+++ b/marjoramlead/platform/names.py
@@ -31,6 +31,7 @@
     target_id=b'x-instance-id',
     cold_ms=b'x-cold-ms',
     rate_limit=b'server-limit',
+    leaving=b'server-leaving',
 )
 
 # Separates the id of a running request from the rest of the id of a call that
--- a/marjoramlead/sidecar_status.py
+++ b/marjoramlead/sidecar_status.py
@@ -13,7 +13,7 @@
     TargetView,
 )
 from marjoramlead.http_server import StreamRequest
-from marjoramlead.mesh_state import MeshState, TargetEntry
+from marjoramlead.mesh_state import MeshState, TargetEntry, is_leaving
 from marjoramlead.metrics import Metrics, render_metrics
 from marjoramlead.placement import (
     BalancerState,
@@ -118,7 +118,7 @@
     entry: TargetEntry = mesh_state.targets[key]
     if entry.data_centre in mesh_state.excluded:
         return 'out'
-    if entry.is_draining:
+    if is_leaving(mesh_state, entry):
         return 'draining'
     if key in mesh_state.held_until:
         return 'held'
--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -10,7 +10,12 @@
 from marjoramlead.header_names import HeaderNames
 from marjoramlead.hops import Job
 from marjoramlead.ledger import AttemptLedger, Outcome
-from marjoramlead.mesh_state import MeshState, TargetEntry
+from marjoramlead.mesh_state import (
+    MeshState,
+    TargetEntry,
+    is_leaving,
+    note_leaving,
+)
 from marjoramlead.metrics import Metrics
 from marjoramlead.routes import ServiceConfig
 from marjoramlead.target_notices import read_notice
@@ -126,7 +131,7 @@
         return not_run_refusal(Reason.NOT_READY)
     if target_id is not None and target_entry.target_id != target_id:
         return not_run_refusal(Reason.WRONG_TARGET)
-    if target_entry.is_draining:
+    if is_leaving(gate.mesh_state, target_entry):
         return not_run_refusal(Reason.DRAINING)
     if target_entry.data_centre in gate.mesh_state.excluded:
         return not_run_refusal(Reason.DATA_CENTRE_OUT)
@@ -156,6 +161,10 @@
     if names_limit or (notice.is_limit_valid and not is_probe):
         gate.has_heard_target = True
         _set_rate_limit(gate, notice.rate_limit_per_s, gate.reactor.seconds())
+    if notice.is_leaving and not is_leaving(gate.mesh_state, target_entry):
+        emit('target_leaving', target=target_entry.target_id)
+        note_leaving(gate.mesh_state, target_entry)
+        refuse_waiting_requests(gate, not_run_refusal(Reason.DRAINING))
 
 
 def _set_rate_limit(gate: TargetGate, per_s: float | None, now: float) -> None:
--- a/marjoramlead/target_notices.py
+++ b/marjoramlead/target_notices.py
@@ -1,10 +1,11 @@
 """What a target says of itself in its responses.
 
-A target in need names the rate of requests that it accepts.
+A target in need names the rate of requests that it accepts; a target that is
+about to stop says so. Both hold for the target's present run.
 """
 
 from math import isfinite
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from marjoramlead.events import emit
 from marjoramlead.header_names import HeaderNames
@@ -12,6 +13,8 @@
 
 __all__ = ('TargetNotice', 'read_notice')
 
+LEAVING: Final = '1'
+
 
 class TargetNotice(NamedTuple):
     """Notices in one response of a target.
@@ -21,11 +24,14 @@
     rate_limit_per_s
         Requests per second that the target accepts from all nodes together;
         None if it names no limit.
+    is_leaving
+        Whether the target is about to stop.
     is_limit_valid
         False if the limit could not be read. The limit known before holds.
     """
 
     rate_limit_per_s: float | None
+    is_leaving: bool
     is_limit_valid: bool = True
 
 
@@ -33,13 +39,14 @@
     headers: HeaderList, header_names: HeaderNames, target_id: str
 ) -> TargetNotice:
     """Read the notices of a target; an invalid limit is logged."""
+    is_leaving = header_value(headers, header_names.leaving) == LEAVING
     raw = header_value(headers, header_names.rate_limit)
     if not raw:
-        return TargetNotice(None)
+        return TargetNotice(None, is_leaving)
     rate_limit = _parse_rate(raw)
     if rate_limit is None:
         emit('target_notice_refused', target=target_id, limit=raw)
-    return TargetNotice(rate_limit, rate_limit is not None)
+    return TargetNotice(rate_limit, is_leaving, rate_limit is not None)
 
 
 def _parse_rate(raw: str) -> float | None:
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -174,7 +174,11 @@
         start_sidecar(host.sidecar)
 
     def publish(
-        self, host: Host, state: str = 'ready', cold: str = '0ms'
+        self,
+        host: Host,
+        state: str = 'ready',
+        cold: str = '0ms',
+        born: int = 1000,
     ) -> None:
         """Write the entry of a host's target to the store."""
         entry = {
@@ -186,7 +190,7 @@
             'State': state,
             'WarmupLeft': cold,
             'Sequence': 1,
-            'born': 1000,
+            'born': born,
         }
         put(self.store, f'servers/{host.target.target_id}', entry)
 
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -1,4 +1,4 @@
-"""Targets that name a limit."""
+"""Targets that name a limit, and targets that announce their stop."""
 
 import pytest
 
@@ -12,6 +12,7 @@
 # What the platform allows in a window, from 3 s after the first notice.
 MAX_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_S + 5
 NOTICE_DELAY_S = 3
+DRAIN_S = 2
 STEP_S = 0.05
 
 
@@ -101,6 +102,34 @@
     assert most_in_window(mesh.hosts[0].target, start) <= MAX_IN_WINDOW
 
 
+@pytest.mark.parametrize('restarts', [0, 1])
+def test_target_that_announces_its_stop_gets_no_new_requests(restarts):
+    mesh = ready_mesh('web', 'web', 'api', work_s=0.05)
+    leaving = mesh.hosts[0]
+    leaving.target.notices[b'Server-Leaving'] = b'1'
+    send_steadily(mesh, 1)
+    for _restart in range(restarts):
+        mesh.start(leaving)
+    mesh.advance(DRAIN_S)
+    before = len(leaving.target.arrivals)
+    sent = send_steadily(mesh, 1, mesh.hosts[1:])
+    assert len(leaving.target.arrivals) == before
+    assert {each.status for each in sent if each.reply} == {200}
+
+
+def test_target_that_starts_again_under_its_id_gets_requests():
+    mesh = ready_mesh('web', 'api', work_s=0.05)
+    target = mesh.hosts[0].target
+    target.notices[b'Server-Leaving'] = b'1'
+    send_steadily(mesh, 1)
+    target.notices.clear()
+    before = len(target.arrivals)
+    mesh.publish(mesh.hosts[0], born=2000)
+    mesh.advance(1)
+    send_steadily(mesh, 1)
+    assert len(target.arrivals) > before
+
+
 def test_target_that_accepts_nothing_still_tells_when_the_limit_ends():
     mesh = limited_mesh()
     target = mesh.hosts[0].target
