Grant reservations only to clients that an overloaded target has refused

A client that was refused for another reason, such as no usable target, was taken for one with a reservation when it returned, and went before requests in time.

Found by reading. test_only_an_overloaded_target_grants_a_reservation failed before.

--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -14,7 +14,12 @@
 
 from marjoramlead.bodies import BodyStream
 from marjoramlead.body_reader import collect_body
-from marjoramlead.dispatch import Dispatcher, Request, dispatch
+from marjoramlead.dispatch import (
+    OVERLOAD_REASONS,
+    Dispatcher,
+    Request,
+    dispatch,
+)
 from marjoramlead.events import emit
 from marjoramlead.header_names import HeaderNames
 from marjoramlead.headers import HOP_BY_HOP, is_mesh_header
@@ -350,14 +355,18 @@
 def _remember_refusal(
     frontend: ClientFrontend, context: _RequestContext, refusal: Refusal
 ) -> None:
-    """Remember a refused client, so that it is recognised if it returns."""
+    """Remember a refused client, so that it is recognised if it returns.
+
+    Only a target that is overloaded gives the client a time of its own.
+    """
     if context.route is None or context.origin is Origin.RUNNING_REQUEST:
         return
-    now = frontend.dispatcher.reactor.seconds()
+    return_at = float('inf')
+    if refusal.reason in OVERLOAD_REASONS:
+        now = frontend.dispatcher.reactor.seconds()
+        return_at = now + refusal.retry_after
     attempt = FirstAttempt(
-        context.client_deadline,
-        context.soft_deadline,
-        now + refusal.retry_after,
+        context.client_deadline, context.soft_deadline, return_at
     )
     remember_refusal(frontend.refused_attempts, context.key, attempt)
 
--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -48,7 +48,7 @@
 from marjoramlead.upstream import HeaderList, Reply
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
-__all__ = ('Dispatcher', 'Request', 'dispatch')
+__all__ = ('OVERLOAD_REASONS', 'Dispatcher', 'Request', 'dispatch')
 
 # Number of targets that are offered a request for an immediate start only;
 # further targets may queue it.
--- a/marjoramlead/request_origin.py
+++ b/marjoramlead/request_origin.py
@@ -52,7 +52,8 @@
     soft_deadline
         Latest time of an answer that meets the latency objective.
     return_at
-        Earliest time at which the client was told to return.
+        Time at which a target is prepared to serve the client; infinite if it
+        was not refused by a target.
     """
 
     deadline: float
--- a/tests/test_platform_mesh.py
+++ b/tests/test_platform_mesh.py
@@ -172,6 +172,18 @@
     assert {each.status for each in returned} == {200}
 
 
+def test_only_an_overloaded_target_grants_a_reservation():
+    mesh = ready_mesh('web', 'api')
+    mesh.publish(mesh.hosts[0], state='draining')
+    mesh.advance(1)
+    sent = mesh.send(mesh.hosts[1])
+    mesh.advance(0.1)
+    assert sent.status == 503
+    assert sent.header(b'retry-after')
+    refused = mesh.hosts[1].sidecar.frontend.refused_attempts.by_key
+    assert [each.return_at for each in refused.values()] == [float('inf')]
+
+
 def test_draining_target_gets_no_new_requests():
     mesh = ready_mesh('web', 'web')
     mesh.publish(mesh.hosts[0], state='draining')
