--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -14,12 +14,7 @@
 
 from marjoramlead.bodies import BodyStream
 from marjoramlead.body_reader import collect_body
-from marjoramlead.dispatch import (
-    OVERLOAD_REASONS,
-    Dispatcher,
-    Request,
-    dispatch,
-)
+from marjoramlead.dispatch import Dispatcher, Request, dispatch
 from marjoramlead.events import emit
 from marjoramlead.header_names import HeaderNames
 from marjoramlead.headers import HOP_BY_HOP, is_mesh_header
@@ -27,6 +22,7 @@
 from marjoramlead.ledger import Outcome
 from marjoramlead.mesh_retry_budget import record_request
 from marjoramlead.mesh_state import MeshState
+from marjoramlead.offer_state import OVERLOAD_REASONS
 from marjoramlead.problems import BufferedResponse
 from marjoramlead.refusals import RecentRefusals, record_refusal
 from marjoramlead.replies import response_from_reply
--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -27,6 +27,15 @@
     note_leaving,
 )
 from marjoramlead.metrics import Metrics
+from marjoramlead.offer_state import (
+    MAX_REFUSALS_IN_OVERLOAD,
+    OVERLOAD_REASONS,
+    OfferState,
+    are_offers_exhausted,
+    final_outcome,
+    record_refused_offer,
+    record_reply,
+)
 from marjoramlead.placement import (
     BalancerState,
     PlacementQuery,
@@ -46,39 +55,19 @@
 from marjoramlead.target_queue import load_report
 from marjoramlead.target_runs import abandon_job, serve_job
 from marjoramlead.upstream import HeaderList, Reply
-from marjoramlead.verdict import Reason, Refusal, Verdict
+from marjoramlead.verdict import Refusal, Verdict
 
-__all__ = ('OVERLOAD_REASONS', 'Dispatcher', 'Request', 'dispatch')
+__all__ = ('Dispatcher', 'Request', 'dispatch')
 
 # Number of targets that are offered a request for an immediate start only;
 # further targets may queue it.
 IMMEDIATE_OFFERS: Final = 3
 # The same for nested requests, which go first in every queue.
 NESTED_IMMEDIATE_OFFERS: Final = 1
-# Maximum number of offers of one request. Each takes about a millisecond;
-# after this many refusals the service is considered full.
-MAX_OFFERS: Final = 8
-# Number of targets that may refuse a request because they expect to answer too
-# late. Further targets are ranked as slower, and under overload the offers to
-# them would take more processor time than the requests that are served.
-MAX_OVERLOAD_REFUSALS: Final = 3
-# The same while the service is known to be overloaded.
-MAX_REFUSALS_IN_OVERLOAD: Final = 1
-# Retry-After value if no target has reported when it expects a free slot.
-DEFAULT_RETRY_AFTER_S: Final = 0.2
 # Minimum time left for a retry. One with less time cannot be answered before
 # its deadline.
 MIN_RETRY_TIME_S: Final = 0.02
 SERVER_ERROR: Final = 500
-# Refusal reasons after which the request may be offered to the same target
-# once more.
-TRANSIENT_REASONS: Final = frozenset(
-    (Reason.NO_ROOM, Reason.NEVER_SEEN),
-)
-# Refusal reasons of a target that expects to answer too late.
-OVERLOAD_REASONS: Final = frozenset(
-    (Reason.OVERLOAD, Reason.COLD, Reason.RATE_LIMIT),
-)
 
 
 class Request(NamedTuple):
@@ -133,54 +122,10 @@
     service_load: ServiceLoad = field(default_factory=ServiceLoad)
 
 
-@dataclass(slots=True)
-class _Attempts:
-    """The attempts made so far to serve one request.
-
-    Attributes
-    ----------
-    has_reached_target
-        Whether any target has received the request.
-    possible_runs
-        Number of attempts in which a target ran or may have run the request.
-    offers
-        Number of offers made so far.
-    max_overload_refusals
-        Number of targets that may refuse the request because they expect to
-        answer too late.
-    overload_refusals
-        Number of targets that have done so.
-    offered_ids
-        Ids of the targets that have been offered the request.
-    excluded_ids
-        Ids of the targets that must not be offered the request again.
-    last_reply
-        Last response of a target, returned if no later attempt succeeds.
-    uncertain_refusal
-        Last refusal after which the request may have run.
-    retry_after
-        Seconds until the targets that refused expect a free slot.
-    last_refusal
-        Last refusal of any kind.
-    """
-
-    max_overload_refusals: int = MAX_OVERLOAD_REFUSALS
-    has_reached_target: bool = False
-    possible_runs: int = 0
-    offers: int = 0
-    overload_refusals: int = 0
-    offered_ids: set[str] = field(default_factory=set)
-    excluded_ids: set[str] = field(default_factory=set)
-    last_reply: Reply | None = None
-    uncertain_refusal: Refusal | None = None
-    retry_after: list[float] = field(default_factory=list)
-    last_refusal: Refusal | None = None
-
-
 async def dispatch(dispatcher: Dispatcher, request: Request) -> Outcome:
     """Offer a request to targets until one responds or none is left."""
-    attempts = _begin_attempts(dispatcher, request)
-    outcome = await _dispatch(dispatcher, request, attempts)
+    offers = _begin_offers(dispatcher, request)
+    outcome = await _dispatch(dispatcher, request, offers)
     is_refused = (
         isinstance(outcome, Refusal) and outcome.reason in OVERLOAD_REASONS
     )
@@ -191,43 +136,43 @@
     return outcome
 
 
-def _begin_attempts(dispatcher: Dispatcher, request: Request) -> _Attempts:
+def _begin_offers(dispatcher: Dispatcher, request: Request) -> OfferState:
     now = dispatcher.reactor.seconds()
     is_overload_known = is_overloaded(
         dispatcher.service_load, request.route.name, now
     )
     if is_overload_known and not (request.is_nested or request.has_reservation):
-        return _Attempts(MAX_REFUSALS_IN_OVERLOAD)
-    return _Attempts()
+        return OfferState(MAX_REFUSALS_IN_OVERLOAD)
+    return OfferState()
 
 
 async def _dispatch(
-    dispatcher: Dispatcher, request: Request, attempts: _Attempts
+    dispatcher: Dispatcher, request: Request, offers: OfferState
 ) -> Outcome:
     while True:  # noqa: WPS457  # bounded by MAX_OFFERS and the deadline
-        target = _choose_target(dispatcher, request, attempts)
+        target = _choose_target(dispatcher, request, offers)
         if target is None:
-            return _final_outcome(attempts)
-        outcome = await _offer_to_target(dispatcher, request, attempts, target)
+            return final_outcome(offers)
+        outcome = await _offer_to_target(dispatcher, request, offers, target)
         if _record_and_check_final(
             dispatcher,
             request,
-            attempts,
+            offers,
             target,
             outcome,
         ):
             is_reply = isinstance(outcome, Reply)
-            return outcome if is_reply else _final_outcome(attempts)
+            return outcome if is_reply else final_outcome(offers)
 
 
 def _choose_target(
     dispatcher: Dispatcher,
     request: Request,
-    attempts: _Attempts,
+    offers: OfferState,
 ) -> TargetEntry | None:
     """Return the target of the next offer, or None if no offer is left."""
     now = dispatcher.reactor.seconds()
-    if now >= request.deadline or _are_offers_exhausted(attempts):
+    if now >= request.deadline or are_offers_exhausted(offers):
         return None
     mesh_state = dispatcher.mesh_state
     usable = [
@@ -235,7 +180,7 @@
         for target_entry in mesh_state.targets.values()
         if target_entry.service == request.service
         and is_usable(mesh_state, target_entry)
-        and target_entry.target_id not in attempts.excluded_ids
+        and target_entry.target_id not in offers.excluded_ids
     ]
     own_entry = dispatcher.gate.target_entry
     query = PlacementQuery(
@@ -248,34 +193,27 @@
     return ranked[0] if ranked else None
 
 
-def _are_offers_exhausted(attempts: _Attempts) -> bool:
-    return (
-        attempts.offers >= MAX_OFFERS
-        or attempts.overload_refusals >= attempts.max_overload_refusals
-    )
-
-
 async def _offer_to_target(
     dispatcher: Dispatcher,
     request: Request,
-    attempts: _Attempts,
+    offers: OfferState,
     target: TargetEntry,
 ) -> Outcome:
     immediate_offers = (
         NESTED_IMMEDIATE_OFFERS if request.is_nested else IMMEDIATE_OFFERS
     )
-    may_wait = target.target_id in attempts.offered_ids or (
-        len(attempts.offered_ids) >= immediate_offers
+    may_wait = target.target_id in offers.offered_ids or (
+        len(offers.offered_ids) >= immediate_offers
     )
-    attempts.offered_ids.add(target.target_id)
+    offers.offered_ids.add(target.target_id)
     if may_wait:
-        attempts.excluded_ids.add(target.target_id)
-    attempts.offers += 1
+        offers.excluded_ids.add(target.target_id)
+    offers.count += 1
     job = _make_job(
         dispatcher,
         request,
         target,
-        attempts,
+        offers,
         may_wait=may_wait,
     )
     stats = dispatcher.balancer.stats_of(target.target_id)
@@ -294,15 +232,15 @@
     dispatcher: Dispatcher,
     request: Request,
     target: TargetEntry,
-    attempts: _Attempts,
+    offers: OfferState,
     *,
     may_wait: bool,
 ) -> Job:
     stats = dispatcher.balancer.stats_of(target.target_id)
     return Job(
         request_id=request.request_id,
-        attempt=attempts.offers,
-        is_retry=attempts.has_reached_target,
+        attempt=offers.count,
+        is_retry=offers.has_reached_target,
         target_id=target.target_id,
         route=request.route.name,
         retry_policy=request.route.retry_policy,
@@ -352,7 +290,7 @@
 def _record_and_check_final(
     dispatcher: Dispatcher,
     request: Request,
-    attempts: _Attempts,
+    offers: OfferState,
     target: TargetEntry,
     outcome: Outcome,
 ) -> bool:
@@ -364,23 +302,12 @@
     _update_failure_rate(dispatcher, target, outcome)
     if isinstance(outcome, Reply):
         _apply_notice(dispatcher, target, outcome)
-        attempts.last_reply = outcome
-        attempts.has_reached_target = True
-        attempts.possible_runs += 1
-        attempts.excluded_ids.add(target.target_id)
+        record_reply(offers, target.target_id, outcome)
         has_failed = outcome.status >= SERVER_ERROR
-        return not has_failed or not _may_retry(dispatcher, request, attempts)
-    attempts.last_refusal = outcome
-    attempts.has_reached_target |= outcome.reached_target
-    if outcome.retry_after:
-        attempts.retry_after.append(outcome.retry_after)
-    attempts.overload_refusals += outcome.reason in OVERLOAD_REASONS
-    if outcome.reason not in TRANSIENT_REASONS:
-        attempts.excluded_ids.add(target.target_id)
+        return not has_failed or not _may_retry(dispatcher, request, offers)
+    record_refused_offer(offers, target.target_id, outcome)
     if outcome.verdict is not Verdict.NOT_RUN:
-        attempts.possible_runs += 1
-        attempts.uncertain_refusal = outcome
-        return not _may_retry(dispatcher, request, attempts)
+        return not _may_retry(dispatcher, request, offers)
     return outcome.reached_target and not _try_spend_retry(dispatcher, request)
 
 
@@ -420,7 +347,7 @@
 def _may_retry(
     dispatcher: Dispatcher,
     request: Request,
-    attempts: _Attempts,
+    offers: OfferState,
 ) -> bool:
     """Return whether a request that may have run may be retried.
 
@@ -429,7 +356,7 @@
     route = request.route
     if (
         route.retry_policy != 'idempotent'
-        or attempts.possible_runs >= route.attempts
+        or offers.possible_runs >= route.attempts
     ):
         return False
     if request.deadline - dispatcher.reactor.seconds() < MIN_RETRY_TIME_S:
@@ -441,20 +368,3 @@
     """Spend one retry from the budget if one is left."""
     now = dispatcher.reactor.seconds()
     return try_spend_retry(dispatcher.budget, request.service, now)
-
-
-def _final_outcome(attempts: _Attempts) -> Outcome:
-    """Choose the outcome once no further offer is made.
-
-    A response of a target takes precedence over a refusal, and a refusal
-    after which the request may have run over one after which it did not.
-    """
-    if attempts.last_reply is not None:
-        return attempts.last_reply
-    if attempts.uncertain_refusal is not None:
-        return attempts.uncertain_refusal
-    last_refusal = attempts.last_refusal or Refusal(
-        Reason.NO_TARGET, Verdict.NOT_RUN
-    )
-    after = min(attempts.retry_after, default=DEFAULT_RETRY_AFTER_S)
-    return Refusal(last_refusal.reason, Verdict.NOT_RUN, after)
