Hold no slot while the body of an upload crosses the network

Cause: a slot was acquired before the sender of a large body was told to send it. On links of 27 Mbit/s the body takes 0.1 to 0.3 s, the work 0.11 s: uploads took 418 ms in the median in calm seconds, and 39 of them a second held 16 of 30 slots.

A request now has a slot for a moment, which proves that it may run, gives it back, is told to send its body, and waits for a slot again with a reservation. No more bodies are awaited than the target has slots, and they count in the waits of others. A target that leaves meanwhile does not run the request.

--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -26,6 +26,7 @@
     'StreamRequest',
     'StreamSite',
     'Transport',
+    'expects_continue',
     'make_site',
 )
 
@@ -121,8 +122,7 @@
 
     def send_continue(self) -> None:
         """Send "100 Continue" if the caller expects it before the body."""
-        expect = self.requestHeaders.getRawHeaders(EXPECT_HEADER)
-        if self.body is not None and expect and not self._is_response_finished:
+        if expects_continue(self) and not self._is_response_finished:
             self.channel.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def send_response(self, response: BufferedResponse) -> None:
@@ -168,6 +168,12 @@
             self.channel.forceAbortClient()
 
 
+def expects_continue(req: StreamRequest) -> bool:
+    """Return whether the caller sends the body only when told to."""
+    expect = req.requestHeaders.getRawHeaders(EXPECT_HEADER)
+    return req.body is not None and bool(expect)
+
+
 class HeadLimits(NamedTuple):
     """Limits on request heads and on idle connections.
 
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -31,7 +31,7 @@
     decode_job,
     encode_report,
 )
-from marjoramlead.http_server import StreamRequest
+from marjoramlead.http_server import StreamRequest, expects_continue
 from marjoramlead.ledger import Outcome, query_outcome
 from marjoramlead.problems import BufferedResponse
 from marjoramlead.replies import response_from_reply
@@ -100,7 +100,12 @@
 ) -> Outcome:
     job = _build_job(req, terms, gate.reactor.seconds())
     req.notifyFinish().addErrback(lambda _gone: abandon_job(gate, job))
-    return await serve_job(gate, job, lambda: _read_body(req))
+    return await serve_job(
+        gate,
+        job,
+        lambda: _read_body(req),
+        has_pending_body=expects_continue(req),
+    )
 
 
 async def _read_body(req: StreamRequest) -> bytes | Refusal:
--- a/marjoramlead/queue_estimates.py
+++ b/marjoramlead/queue_estimates.py
@@ -220,7 +220,8 @@
     """Estimate a request's wait, allowing for others that overtake it."""
     key_of = scheduling_key(queue, now)
     own_key = key_of(entry)
-    keyed = [(key_of(each), each) for each in queue.waiting.values()]
+    others = (*queue.waiting.values(), *queue.receiving.values())
+    keyed = [(key_of(each), each) for each in others]
     keyed = sorted(each for each in keyed if each[0] < own_key)
     ahead = [each[1] for each in keyed]
     start = _estimate_start(queue, ahead, now)
--- a/marjoramlead/queue_state.py
+++ b/marjoramlead/queue_state.py
@@ -15,6 +15,7 @@
     'can_start',
     'next_token_time',
     'retry_share',
+    'return_token',
     'set_cold_rate',
     'set_rate_limit',
     'start_rate',
@@ -67,6 +68,9 @@
         Entries by number, with their start times.
     waiting
         Entries by number.
+    receiving
+        Accepted entries by number whose bodies are on the way to this node.
+        They hold no slot.
     cold_per_s, cold_until
         Maximum number of requests started per second, and the time until
         which this limit applies.
@@ -87,6 +91,7 @@
     rate_limit_per_s: float | None = None
     running: dict[int, tuple[QueueEntry, float]] = field(default_factory=dict)
     waiting: dict[int, QueueEntry] = field(default_factory=dict)
+    receiving: dict[int, QueueEntry] = field(default_factory=dict)
     statistics: QueueStatistics = field(default_factory=QueueStatistics)
     reserved_until: float = 0
     tokens: float = BURST_REQUESTS
@@ -152,6 +157,12 @@
     return now + missing_tokens / rate
 
 
+def return_token(queue: TargetQueue, now: float) -> None:
+    """Return the token of a request that was not sent to the target."""
+    queue.tokens = min(BURST_REQUESTS, available_tokens(queue, now) + 1)
+    queue.tokens_updated_at = now
+
+
 def take_token(queue: TargetQueue, now: float) -> None:
     """Take a token from the bucket for a started request."""
     queue.tokens = max(0, available_tokens(queue, now) - 1)
--- a/marjoramlead/queue_statistics.py
+++ b/marjoramlead/queue_statistics.py
@@ -13,6 +13,7 @@
     'DecayingCount',
     'QueueStatistics',
     'Rank',
+    'cancel_start',
     'estimate_service_time',
     'recent_served_share',
     'record_arrival',
@@ -141,6 +142,20 @@
     )
 
 
+def cancel_start(
+    statistics: QueueStatistics,
+    route: str,
+    rank: Rank,
+    service_time: float,
+    now: float,
+) -> None:
+    """Undo the record of a start, because the request has yet to start."""
+    statistics.starts.setdefault(route, DecayingCount()).add(-1, now)
+    statistics.started_work.setdefault(rank, DecayingCount()).add(
+        -service_time, now
+    )
+
+
 def recent_served_share(
     statistics: QueueStatistics, route: str, now: float
 ) -> float:
--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -1,7 +1,9 @@
 """Admission to the local target: every request passes through its gate."""
 
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from itertools import count
+from typing import Final
 
 from twisted.internet.defer import CancelledError, Deferred
 
@@ -23,8 +25,10 @@
     QueueEntry,
     TargetQueue,
     admit,
+    begin_receiving,
     cancel_waiting,
     clear_waiting,
+    end_receiving,
     next_start_time,
     remove_running,
     set_rate_limit,
@@ -34,11 +38,13 @@
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
 __all__ = (
+    'ReadBody',
     'TargetGate',
     'acquire_slot',
     'apply_notice',
     'is_running',
     'not_run_refusal',
+    'receive_body',
     'refuse_if_unavailable',
     'refuse_waiting_requests',
     'release_slot',
@@ -48,6 +54,12 @@
 )
 
 
+# Retry-After value if as many bodies are on the way as the target has slots.
+RECEIVING_RETRY_AFTER_S: Final = 0.2
+
+ReadBody = Callable[[], Coroutine[Deferred[object], object, bytes | Refusal]]
+
+
 @dataclass(slots=True)
 class TargetGate:
     """Queue, connections and known state of the local target.
@@ -175,7 +187,7 @@
 
 
 async def acquire_slot(
-    gate: TargetGate, job: Job, number: int
+    gate: TargetGate, job: Job, number: int, *, has_pending_body: bool = False
 ) -> Refusal | None:
     """Acquire a slot, waiting for one only if ``job.may_wait`` is set.
 
@@ -184,6 +196,10 @@
     refusal = refuse_if_unavailable(gate, job.target_id)
     if refusal is not None:
         return refusal
+    if has_pending_body and len(gate.queue.receiving) >= gate.queue.slots:
+        return Refusal(
+            Reason.OVERLOAD, Verdict.NOT_RUN, RECEIVING_RETRY_AFTER_S
+        )
     entry = QueueEntry(
         number,
         job.request_id,
@@ -207,6 +223,33 @@
     return await _wait_for_slot(gate, entry)
 
 
+async def receive_body(
+    gate: TargetGate, job: Job, number: int, read_body: ReadBody
+) -> bytes | Refusal:
+    """Read the body of a request that has a slot, without holding the slot.
+
+    On a narrow link, a body takes longer to arrive than its work. Returns the
+    body once the request has a slot again.
+    """
+    queue, reactor = gate.queue, gate.reactor
+    begin_receiving(queue, number, reactor.seconds())
+    start_waiting_requests(gate, reactor.seconds())
+    entry = queue.receiving[number]
+    try:
+        body = await read_body()
+    except (CancelledError, GeneratorExit):
+        queue.receiving.pop(number)
+        raise
+    refusal = refuse_if_unavailable(gate, job.target_id)
+    if isinstance(body, Refusal) or refusal is not None:
+        queue.receiving.pop(number)
+        return refusal or body
+    if end_receiving(queue, number, reactor.seconds()):
+        return body
+    _schedule_start(gate, reactor.seconds())
+    return await _wait_for_slot(gate, entry) or body
+
+
 async def _wait_for_slot(gate: TargetGate, entry: QueueEntry) -> Refusal | None:
     waiter: Deferred[Refusal | None] = Deferred()
     gate.waiters[entry.number] = waiter
--- a/marjoramlead/target_queue.py
+++ b/marjoramlead/target_queue.py
@@ -34,11 +34,16 @@
     can_start,
     next_token_time,
     retry_share,
+    return_token,
     set_cold_rate,
     set_rate_limit,
     take_token,
 )
-from marjoramlead.queue_statistics import record_arrival, record_start
+from marjoramlead.queue_statistics import (
+    cancel_start,
+    record_arrival,
+    record_start,
+)
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
 __all__ = (
@@ -47,8 +52,10 @@
     'QueueEntry',
     'TargetQueue',
     'admit',
+    'begin_receiving',
     'cancel_waiting',
     'clear_waiting',
+    'end_receiving',
     'load_report',
     'next_start_time',
     'remove_running',
@@ -92,6 +99,30 @@
     return refusal
 
 
+def begin_receiving(queue: TargetQueue, number: int, now: float) -> None:
+    """Give back the slot of a started request until its body has arrived."""
+    entry, _started_at = queue.running.pop(number)
+    queue.receiving[number] = entry
+    cancel_start(
+        queue.statistics,
+        entry.route,
+        rank_of(queue, entry, now),
+        expected_service_time(queue, entry, now),
+        now,
+    )
+    return_token(queue, now)
+
+
+def end_receiving(queue: TargetQueue, number: int, now: float) -> bool:
+    """Queue a request whose body has arrived; return whether it started."""
+    entry = queue.receiving.pop(number)._replace(has_reservation=True)
+    if not queue.waiting and can_start(queue, now):
+        _start(queue, entry, now)
+        return True
+    queue.waiting[number] = entry
+    return False
+
+
 def remove_running(queue: TargetQueue, number: int) -> None:
     """Remove a running request that has ended."""
     queue.running.pop(number, None)
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -1,6 +1,5 @@
 """Run requests at the local target and classify their outcomes."""
 
-from collections.abc import Callable, Coroutine
 from http import HTTPStatus
 from typing import Final
 
@@ -12,10 +11,12 @@
 from marjoramlead.ledger import Outcome, record_outcome, register_attempt
 from marjoramlead.queue_statistics import record_service_time
 from marjoramlead.target_gate import (
+    ReadBody,
     TargetGate,
     acquire_slot,
     apply_notice,
     not_run_refusal,
+    receive_body,
     release_slot,
 )
 from marjoramlead.target_probe import probe_target, suspect_restart
@@ -32,8 +33,6 @@
 
 __all__ = ('ReadBody', 'abandon_job', 'serve_job')
 
-ReadBody = Callable[[], Coroutine[Deferred[object], object, bytes | Refusal]]
-
 MS_PER_SECOND: Final = 1000
 # Time after the deadline during which the target's response is still awaited. A
 # target stops a request at the deadline that it was given, and then responds.
@@ -55,6 +54,8 @@
     gate: TargetGate,
     job: Job,
     read_body: ReadBody | None = None,
+    *,
+    has_pending_body: bool = False,
 ) -> Deferred[Outcome]:
     """Serve one request to its end; cancelling the result stops it.
 
@@ -67,6 +68,8 @@
     read_body
         Reads the body once the request has a slot; without it, the body in
         ``job`` is used.
+    has_pending_body
+        Whether the sender waits to be told before it sends the body.
     """
     now = gate.reactor.seconds()
     attempt = attempt_id(job.request_id, job.attempt)
@@ -77,7 +80,12 @@
         done.callback(refusal)
         return done
     task = Deferred.fromCoroutine(
-        _serve(gate, job, read_body or (lambda: _read_job_body(job))),
+        _serve(
+            gate,
+            job,
+            read_body or (lambda: _read_job_body(job)),
+            has_pending_body,
+        ),
     )
     if not task.called:
         gate.tasks[attempt] = task
@@ -106,24 +114,46 @@
     gate: TargetGate,
     job: Job,
     read_body: ReadBody,
+    has_pending_body: bool,
 ) -> Outcome:
     outcome: Outcome = Refusal(Reason.CALLER_GONE, Verdict.MAY_HAVE_RUN, 0)
     started_at = gate.reactor.seconds()
     number = next(gate.request_numbers)
     try:
-        refusal = await acquire_slot(gate, job, number)
+        ready = await _prepare(gate, job, number, read_body, has_pending_body)
     except CancelledError:
-        refusal = not_run_refusal(Reason.CALLER_GONE)
+        ready = not_run_refusal(Reason.CALLER_GONE)
     try:
-        if refusal is None:
-            outcome = await _run_in_slot(gate, job, number, read_body)
+        if isinstance(ready, Refusal):
+            outcome = ready
         else:
-            outcome = refusal
+            outcome = await _run_in_slot(gate, job, number, ready)
     finally:
         _complete(gate, job, outcome, started_at)
     return outcome
 
 
+async def _prepare(
+    gate: TargetGate,
+    job: Job,
+    number: int,
+    read_body: ReadBody,
+    has_pending_body: bool,
+) -> ReadBody | Refusal:
+    """Wait until the request has a slot, and its body if that is pending."""
+    refusal = await acquire_slot(
+        gate, job, number, has_pending_body=has_pending_body
+    )
+    if refusal is not None:
+        return refusal
+    if not has_pending_body:
+        return read_body
+    body = await receive_body(gate, job, number, read_body)
+    if isinstance(body, Refusal):
+        return body
+    return lambda: _read_job_body(job._replace(body=body))
+
+
 def _complete(
     gate: TargetGate,
     job: Job,
