Tests of restarts reset the connections to the node that is replaced

The node that was replaced went on to serve the open connections to it, so the tests did not show what the new one knows. Two mutants were missed for that, and one because only senders sent that had heard the notice; each has a case now.

--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -5,7 +5,7 @@
 from marjoramlead import target_notices
 from marjoramlead.platform.names import PLATFORM_HEADER_NAMES
 from marjoramlead.target_notices import read_notice
-from tests.platform_mesh import ready_mesh
+from tests.platform_mesh import INBOUND, OUTBOUND, ready_mesh
 
 LIMIT_PER_S = 5
 WINDOW_S = 4
@@ -22,6 +22,13 @@
     return mesh
 
 
+def restart_node(mesh, host):
+    """Replace the node of a host; its connections are reset."""
+    for port in (INBOUND, OUTBOUND):
+        mesh.net.reset((host.address, port))
+    mesh.start(host)
+
+
 def send_steadily(mesh, seconds, senders=None):
     """Send from each host 20 times a second, with calls among the requests."""
     sent = []
@@ -62,11 +69,22 @@
     send_steadily(mesh, NOTICE_DELAY_S, sender)
     for _restart in range(restarts):
         send_steadily(mesh, 1, sender)
-        mesh.start(mesh.hosts[0])
+        restart_node(mesh, mesh.hosts[0])
     send_steadily(mesh, 2 * WINDOW_S, sender)
     assert most_in_window(mesh.hosts[0].target, start) <= MAX_IN_WINDOW
 
 
+def test_restarted_node_learns_the_limit_from_senders():
+    mesh = ready_mesh('web', 'api', slots=20, work_s=1)
+    target = mesh.hosts[0].target
+    target.notices[b'Server-Limit'] = b'1'
+    send_steadily(mesh, NOTICE_DELAY_S, mesh.hosts[1:])
+    restart_node(mesh, mesh.hosts[0])
+    before = len(target.arrivals)
+    send_steadily(mesh, 1, mesh.hosts[1:])
+    assert len(target.arrivals) - before <= 4
+
+
 def test_limit_ends_with_the_first_response_without_it():
     mesh = limited_mesh()
     send_steadily(mesh, 2)
@@ -109,7 +127,7 @@
     leaving.target.notices[b'Server-Leaving'] = b'1'
     send_steadily(mesh, 1)
     for _restart in range(restarts):
-        mesh.start(leaving)
+        restart_node(mesh, leaving)
     mesh.advance(DRAIN_S)
     before = len(leaving.target.arrivals)
     sent = send_steadily(mesh, 1, mesh.hosts[1:])
@@ -117,6 +135,17 @@
     assert {each.status for each in sent if each.reply} == {200}
 
 
+def test_target_that_leaves_gets_nothing_from_senders_that_have_not_heard():
+    mesh = ready_mesh('web', 'web', 'api', 'api', work_s=0.05)
+    leaving = mesh.hosts[0]
+    leaving.target.notices[b'Server-Leaving'] = b'1'
+    send_steadily(mesh, 1, [leaving])
+    before = len(leaving.target.arrivals)
+    sent = send_steadily(mesh, 1, mesh.hosts[2:])
+    assert len(leaving.target.arrivals) == before
+    assert {each.status for each in sent if each.reply} == {200}
+
+
 def test_target_that_starts_again_under_its_id_gets_requests():
     mesh = ready_mesh('web', 'api', work_s=0.05)
     target = mesh.hosts[0].target
