--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -136,12 +136,13 @@
 
 
 def test_target_that_leaves_gets_nothing_from_senders_that_have_not_heard():
-    mesh = ready_mesh('web', 'web', 'api', 'api', work_s=0.05)
+    mesh = ready_mesh('web', 'web', 'api', 'api', 'api', work_s=0.05)
     leaving = mesh.hosts[0]
     leaving.target.notices[b'Server-Leaving'] = b'1'
-    send_steadily(mesh, 1, [leaving])
+    send_steadily(mesh, 1, [mesh.hosts[2]])
     before = len(leaving.target.arrivals)
-    sent = send_steadily(mesh, 1, mesh.hosts[2:])
+    assert before
+    sent = send_steadily(mesh, 1, [mesh.hosts[4]])
     assert len(leaving.target.arrivals) == before
     assert {each.status for each in sent if each.reply} == {200}
 
