--- a/tests/test_target_queue.py
+++ b/tests/test_target_queue.py
@@ -279,6 +279,35 @@
     assert isinstance(result, Refusal)
 
 
+def busy_queue(slots):
+    queue = TargetQueue(slots=slots)
+    queue.statistics.service_times['r'] = 0.1
+    for number in range(slots):
+        admit(queue, make_entry(number, 0), 0, may_wait=False)
+    return queue
+
+
+def test_nested_request_starts_before_more_urgent_ones():
+    queue = busy_queue(2)
+    urgent = make_entry(10, 0, priority=0, objective=0.9)
+    nested = make_entry(11, 0, priority=2, objective=0.9)
+    for entry in (urgent, nested._replace(is_nested=True)):
+        assert admit(queue, entry, 0, may_wait=True) is False
+    remove_running(queue, 0)
+    started, _dropped = start_ready(queue, 0.05)
+    assert [entry.number for entry in started] == [11]
+
+
+def test_nested_request_is_accepted_up_to_its_deadline():
+    short = make_entry(10, 0, objective=0.15, timeout=0.25)
+    ordinary = admit(busy_queue(2), short, 0, may_wait=True)
+    assert isinstance(ordinary, Refusal)
+    nested = short._replace(is_nested=True)
+    assert admit(busy_queue(2), nested, 0, may_wait=True) is False
+    too_late = make_entry(10, 0, timeout=0.15)._replace(is_nested=True)
+    assert isinstance(admit(busy_queue(2), too_late, 0, may_wait=True), Refusal)
+
+
 def test_late_request_gets_no_slot_that_the_demand_in_time_needs():
     admitted = []
     for in_time_per_s in (5, 40):
