--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -314,7 +314,7 @@
 def _apply_notice(
     dispatcher: Dispatcher, target: TargetEntry, reply: Reply
 ) -> None:
-    """Remember what the target says of itself in a response.
+    """Remember the status that the target reports in a response.
 
     Its own node enforces it, but may restart and forget it.
     """
--- a/marjoramlead/explanations.py
+++ b/marjoramlead/explanations.py
@@ -97,7 +97,7 @@
         'Add targets; raise slots only if the targets can sustain more.',
     ),
     Reason.RATE_LIMIT: (
-        'The target accepts only the rate of requests that it names in its '
+        'The target accepts only the request rate that it reports in its '
         'responses.',
         'Check the target, or add targets.',
     ),
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -74,7 +74,7 @@
     has_reservation
         Whether the client was refused before and told to return by now.
     rate_limit_per_s
-        Limit that the target has named to the sender; None if it names none.
+        Rate limit that the target has reported to the sender, or None.
     soft_deadline
         Latest time of a response that meets the route's latency objective, on
         this node's clock.
--- a/marjoramlead/placement.py
+++ b/marjoramlead/placement.py
@@ -80,8 +80,8 @@
     service_times
         Last reported service time in seconds, by route.
     rate_limit_per_s
-        Requests per second that the target has said it accepts; None if it
-        names no limit.
+        Requests per second that the target reports that it accepts; None if it
+        reports no limit.
     failure_rate
         Exponential moving average of the share of requests that the target
         failed or refused, as of ``failure_rate_at``.
--- a/marjoramlead/queue_state.py
+++ b/marjoramlead/queue_state.py
@@ -76,7 +76,7 @@
         which this limit applies.
     rate_limit_per_s
         Number of requests per second that the target itself accepts; None if
-        it names no limit.
+        it reports no limit.
     reserved_until
         Time up to which slots are reserved for refused clients that were told
         to return.
--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -77,7 +77,7 @@
         Published entry of the target, or None if it is unknown.
     is_restart_suspected
         Whether the target may have restarted unnoticed since its last response.
-    has_heard_target
+    has_target_responded
         Whether the target has responded since this node, or the target,
         started. Until then, the limit that a sender knows is used.
     probed_at
@@ -101,7 +101,7 @@
     is_draining: bool = False
     is_restart_suspected: bool = False
     is_probing: bool = False
-    has_heard_target: bool = False
+    has_target_responded: bool = False
     probed_at: float = 0
     start_timer: Timer | None = None
 
@@ -161,7 +161,7 @@
 def apply_notice(
     gate: TargetGate, headers: HeaderList, *, is_probe: bool = False
 ) -> None:
-    """Apply what the target says of itself in a response.
+    """Apply the status that the target reports in a response.
 
     A probe may be answered without notices, so it does not end a limit.
     """
@@ -171,7 +171,7 @@
     notice = read_notice(headers, gate.header_names, target_entry.target_id)
     names_limit = notice.rate_limit_per_s is not None
     if names_limit or (notice.is_limit_valid and not is_probe):
-        gate.has_heard_target = True
+        gate.has_target_responded = True
         _set_rate_limit(gate, notice.rate_limit_per_s, gate.reactor.seconds())
     if notice.is_leaving and not is_leaving(gate.mesh_state, target_entry):
         emit('target_leaving', target=target_entry.target_id)
@@ -212,7 +212,7 @@
         job.has_reservation,
     )
     now = gate.reactor.seconds()
-    if not gate.has_heard_target and job.rate_limit_per_s is not None:
+    if not gate.has_target_responded and job.rate_limit_per_s is not None:
         _set_rate_limit(gate, job.rate_limit_per_s, now)
     admitted = admit(gate.queue, entry, now, may_wait=job.may_wait)
     if isinstance(admitted, Refusal):
--- a/marjoramlead/target_notices.py
+++ b/marjoramlead/target_notices.py
@@ -1,7 +1,7 @@
-"""What a target says of itself in its responses.
+"""Status that a target reports in the headers of its responses.
 
-A target in need names the rate of requests that it accepts; a target that is
-about to stop says so. Both hold for the target's present run.
+An overloaded target reports the request rate that it accepts; a target that is
+about to stop reports that. Both hold until the target restarts.
 """
 
 from math import isfinite
@@ -23,7 +23,7 @@
     ----------
     rate_limit_per_s
         Requests per second that the target accepts from all nodes together;
-        None if it names no limit.
+        None if it reports no limit.
     is_leaving
         Whether the target is about to stop.
     is_limit_valid
--- a/marjoramlead/target_probe.py
+++ b/marjoramlead/target_probe.py
@@ -65,7 +65,7 @@
         )
     if is_new:
         gate.queue.statistics.service_times.clear()
-        gate.has_heard_target = False
+        gate.has_target_responded = False
         set_rate_limit(gate.queue, None, now)
     if gate.is_restart_suspected:
         suspect_restart(gate)
--- a/marjoramlead/target_queue.py
+++ b/marjoramlead/target_queue.py
@@ -11,8 +11,8 @@
 by deadline. Among routes of the same priority, a route goes
 first if only a small share of its requests was started, so that no route is
 starved. A request that is not expected to end in time is refused at once, with
-a retry-after time. A target that is cold, or that names a limit, is sent
-requests at an even rate.
+a retry-after time. A target that is cold, or that reports a rate limit,
+is sent requests at an even rate.
 
 This module does no I/O. Times are in seconds on the node's monotonic clock.
 """
