--- a/tests/overload.py
+++ b/tests/overload.py
@@ -45,17 +45,55 @@
 STATUS_WORK_S = 0.022
 WORK_S = {'browse': BROWSE.work_s, 'book': BOOK.work_s, 'status': STATUS_WORK_S}
 COLUMNS = [
-    'Name', 'Host', 'PathPrefix', 'Kind', 'Timeout', 'TargetLatency',
-    'Priority', 'Service', 'MaxAttempts', 'WeightedServices',
-]  # fmt: skip
+    'Name',
+    'Host',
+    'PathPrefix',
+    'Kind',
+    'Timeout',
+    'TargetLatency',
+    'Priority',
+    'Service',
+    'MaxAttempts',
+    'WeightedServices',
+]
 ROUTES = [
-    ['browse', 'shop.example', '/browse/', 'safe', '1200ms', '300ms', 2,
-     'web', 2, None],
-    ['book', 'shop.example', '/book/', 'unsafe', '1500ms', '400ms', 1,
-     'api', 2, None],
-    ['status', 'shop.example', '/status/', 'safe', '250ms', '100ms', 1,
-     'api', 2, None],
-]  # fmt: skip
+    [
+        'browse',
+        'shop.example',
+        '/browse/',
+        'safe',
+        '1200ms',
+        '300ms',
+        2,
+        'web',
+        2,
+        None,
+    ],
+    [
+        'book',
+        'shop.example',
+        '/book/',
+        'unsafe',
+        '1500ms',
+        '400ms',
+        1,
+        'api',
+        2,
+        None,
+    ],
+    [
+        'status',
+        'shop.example',
+        '/status/',
+        'safe',
+        '250ms',
+        '100ms',
+        1,
+        'api',
+        2,
+        None,
+    ],
+]
 
 
 @dataclass
--- a/tests/test_offer_state.py
+++ b/tests/test_offer_state.py
@@ -15,9 +15,7 @@
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
 OVERLOADED = Refusal(Reason.OVERLOAD, Verdict.NOT_RUN, 0.4)
-UNCERTAIN = Refusal(
-    Reason.SILENT, Verdict.MAY_HAVE_RUN, 0, reached_target=True
-)  # fmt: skip
+UNCERTAIN = Refusal(Reason.SILENT, Verdict.MAY_HAVE_RUN, 0, reached_target=True)
 FAILED = Reply(500, [], b'')
 
 
