Log the start of each run, and jobs whose sender has disconnected

The line for a start names how long the request waited at the node, and the line and counter for an abandoned job the stage that it had reached.

--- a/marjoramlead/metrics.py
+++ b/marjoramlead/metrics.py
@@ -37,6 +37,10 @@
         or ``answered``.
     target_latency
         Seconds from sending a request to the local target to its response.
+    abandoned
+        Jobs whose sender disconnected, by stage: ``waiting`` for a slot,
+        ``receiving`` the body, ``running``, or ``kept`` running because the
+        route is not idempotent.
     probes
         Probes of the local target.
     store_calls
@@ -56,6 +60,7 @@
     request_latency: Histogram = field(init=False)
     offers: Counter = field(init=False)
     target_latency: Histogram = field(init=False)
+    abandoned: Counter = field(init=False)
     probes: Counter = field(init=False)
     store_calls: Counter = field(init=False)
     versions: Counter = field(init=False)
@@ -89,6 +94,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.abandoned = Counter(
+            'marjoramlead_abandoned',
+            'Jobs whose sender disconnected before they ended.',
+            ['stage'],
+            registry=registry,
+        )
         self.probes = Counter(
             'marjoramlead_probes',
             'Probes of the local target.',
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -106,7 +106,9 @@
         for number, (entry, _started_at) in gate.queue.running.items()
         if entry.request_id == job.request_id
     }
-    if job.retry_policy == 'idempotent' or not running_numbers:
+    is_cancelled = job.retry_policy == 'idempotent' or not running_numbers
+    _record_abandoned(gate, job, running_numbers, is_cancelled=is_cancelled)
+    if is_cancelled:
         task.cancel()
 
 
@@ -127,7 +129,7 @@
         if isinstance(ready, Refusal):
             outcome = ready
         else:
-            outcome = await _run_in_slot(gate, job, number, ready)
+            outcome = await _run_in_slot(gate, job, number, ready, started_at)
     finally:
         _complete(gate, job, outcome, started_at)
     return outcome
@@ -171,10 +173,11 @@
     job: Job,
     number: int,
     read_body: ReadBody,
+    arrived_at: float,
 ) -> Outcome:
     started_at = gate.reactor.seconds()
     try:
-        outcome = await _forward(gate, job, read_body)
+        outcome = await _forward(gate, job, read_body, arrived_at)
     finally:
         entry = gate.queue.running[number][0]
         _release_slot_and_probe(gate, number)
@@ -195,6 +198,7 @@
     gate: TargetGate,
     job: Job,
     read_body: ReadBody,
+    arrived_at: float,
 ) -> Outcome:
     body = await read_body()
     if isinstance(body, Refusal):
@@ -203,6 +207,7 @@
     if now >= job.deadline:
         return not_run_refusal(Reason.DEADLINE)
     complete_job = job._replace(body=body)
+    _log_start(complete_job, arrived_at, now)
     return _classify_result(gate, job, await _send(gate, complete_job, now))
 
 
@@ -294,6 +299,44 @@
     )
 
 
+def _record_abandoned(
+    gate: TargetGate,
+    job: Job,
+    running_numbers: set[int],
+    *,
+    is_cancelled: bool,
+) -> None:
+    """Log and count a job whose sender has disconnected, by its stage."""
+    if running_numbers:
+        stage = 'running' if is_cancelled else 'kept'
+    else:
+        is_receiving = any(
+            entry.request_id == job.request_id
+            for entry in gate.queue.receiving.values()
+        )
+        stage = 'receiving' if is_receiving else 'waiting'
+    gate.metrics.abandoned.labels(stage).inc()
+    emit(
+        'abandoned',
+        request_id=job.request_id,
+        route=job.route,
+        attempt=job.attempt,
+        stage=stage,
+    )
+
+
+def _log_start(job: Job, arrived_at: float, now: float) -> None:
+    emit(
+        'run_start',
+        request_id=job.request_id,
+        route=job.route,
+        attempt=job.attempt,
+        size=len(job.body),
+        waited_ms=round((now - arrived_at) * MS_PER_SECOND),
+        left_ms=round((job.deadline - now) * MS_PER_SECOND),
+    )
+
+
 def _log_outcome(
     gate: TargetGate,
     job: Job,
