--- a/tests/test_target_runs.py
+++ b/tests/test_target_runs.py
@@ -37,9 +37,9 @@
     )
 
 
-def start_upload(mesh, request_id='u1'):
+def start_upload(mesh, request_id='u1', wait_s=2):
     """Offer an upload; return its job, its body and what becomes of it."""
-    job, body, outcomes = upload_job(mesh, request_id), Deferred(), []
+    job, body, outcomes = upload_job(mesh, request_id, wait_s), Deferred(), []
 
     async def read_body():
         return await body
@@ -100,3 +100,16 @@
     refused = [outcomes for _job, _body, outcomes in uploads if outcomes]
     assert len(refused) == 2
     assert {outcomes[0].reason for outcomes in refused} == {Reason.OVERLOAD}
+
+
+def test_waiting_uploads_are_not_awaited_beyond_the_slots_of_the_target():
+    mesh = ready_mesh('web', slots=3)
+    gate = mesh.hosts[0].sidecar.gate
+    for _request in range(3):
+        mesh.send(mesh.hosts[0])
+    mesh.advance(0.03)
+    for number in range(9):
+        start_upload(mesh, f'u{number}', wait_s=5)
+    assert len(gate.queue.waiting) > 3
+    mesh.advance(0.15)
+    assert 0 < len(gate.queue.receiving) <= 3
