Read connections whose request has a body that nobody reads yet

Callers that left kept their place at the node of a target, and their requests were run later. Cause: reading stopped as soon as bytes of a body arrived before it had a consumer, and a connection that is not read does not show its close. A job with less than 4,096 bytes is sent with its body at once, and reads it only when it has a slot.

--- a/marjoramlead/bodies.py
+++ b/marjoramlead/bodies.py
@@ -2,10 +2,12 @@
 
 ``twisted.web`` by itself keeps a body in memory or in a file until it is
 complete. A :class:`BodyStream` passes each chunk on as it arrives, and stops
-reading from the caller while it has no consumer or the consumer is paused.
+reading from the caller while the consumer is paused. Without a consumer, it
+keeps the first chunks and reads on: a connection that is not read does not show
+that the caller has closed it.
 """
 
-from typing import Protocol
+from typing import Final, Protocol
 
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionAborted
@@ -15,6 +17,10 @@
 
 __all__ = ('BodyStream', 'BufferedBody', 'Consumer', 'Pausable', 'RequestBody')
 
+# Bytes of a body without a consumer that are kept before reading stops. Larger
+# bodies are sent when the caller is told to.
+MAX_UNREAD_BYTES: Final = 65_536
+
 
 class Pausable(Protocol):
     """The methods of a transport that a body uses."""
@@ -52,6 +58,7 @@
         self._transport = transport
         self._consumer: Consumer | None = None
         self._pending_chunks: list[bytes] = []
+        self._pending_bytes = 0
         self._finished: Deferred[None] = Deferred()
         self._is_complete = False
         self._is_paused = False
@@ -73,9 +80,11 @@
         self._is_paused = False
         pending = self._pending_chunks
         self._pending_chunks = []
+        self._pending_bytes = 0
         for chunk in pending:
             self._write_to_consumer(chunk)
         if self._is_complete:
+            self._transport.resumeProducing()
             self._finish(None)
         elif not self._is_paused:
             self._transport.resumeProducing()
@@ -90,11 +99,13 @@
         """Write a chunk that has arrived, or keep it and stop reading."""
         if self.is_started and self._consumer is None:
             return
-        if self._consumer is None or self._is_paused:
-            self._pending_chunks.append(chunk)
-            self._transport.pauseProducing()
+        if self._consumer is not None and not self._is_paused:
+            self._write_to_consumer(chunk)
             return
-        self._write_to_consumer(chunk)
+        self._pending_chunks.append(chunk)
+        self._pending_bytes += len(chunk)
+        if self._is_paused or self._pending_bytes > MAX_UNREAD_BYTES:
+            self._transport.pauseProducing()
 
     def feed_eof(self) -> None:
         """Record that the last chunk has arrived."""
