Grant the bodies of uploads by the bytes that a link carries soon

Requests reached targets long after their callers had left.

The receiver grants bodies in parts, at most 50 ms of its link at a time. The last kilobyte is asked for when the request has a slot, so that nothing runs for a sender that has left. A body that would arrive too late after those ahead is refused at once, and again when its wait for a slot ends. A sender that stops sending gives its place back after 0.5 s. Nodes without this send and grant whole bodies, as before.

--- a/marjoramlead/headers.py
+++ b/marjoramlead/headers.py
@@ -11,6 +11,7 @@
 from twisted.web.http_headers import Headers
 
 __all__ = (
+    'BODY_GRANTED',
     'CLAIM',
     'CUSTOMER',
     'HOLDER',
@@ -47,6 +48,9 @@
 CLAIM: Final = b'X-Marjoram-Claim'
 RELEASE: Final = b'X-Marjoram-Release'
 HOLDER: Final = b'X-Marjoram-Holder'
+# With "100 Continue": how many bytes of the body may be sent so far, from its
+# start. Without it, the whole body may be sent.
+BODY_GRANTED: Final = b'X-Marjoram-Body-Granted'
 VOTE: Final = b'X-Marjoram-Vote'
 RETRY_AFTER: Final = b'Retry-After'
 HOP_BY_HOP: Final = frozenset(
--- a/marjoramlead/http_connection.py
+++ b/marjoramlead/http_connection.py
@@ -21,6 +21,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from marjoramlead.headers import BODY_GRANTED
 from marjoramlead.verdict import Reason
 
 __all__ = (
@@ -53,7 +54,8 @@
     ----------
     expects_continue
         Whether to send "Expect: 100-continue" and hold the body back until
-        the server sends "100 Continue".
+        the server sends "100 Continue". The server may grant the body in parts
+        (``headers.BODY_GRANTED``).
     """
 
     method: bytes
@@ -128,6 +130,7 @@
     matches: ReplyMatcher
     on_acknowledged: OnAcknowledged
     done: Deferred[SendResult]
+    sent_bytes: int = 0
     response: h11.Response | None = None
     chunks: list[bytes] = field(default_factory=list)
     received_bytes: int = 0
@@ -179,10 +182,11 @@
         Cancelling the result closes the connection.
         """
         done: Deferred[SendResult] = Deferred(lambda _done: self.abort())
-        self._exchange = _Exchange(outgoing, matches, on_acknowledged, done)
+        exchange = _Exchange(outgoing, matches, on_acknowledged, done)
+        self._exchange = exchange
         self._write(_encode_head(self._parser, outgoing))
         if not outgoing.expects_continue:
-            self._write(_encode_body(self._parser, outgoing))
+            self._send_body(exchange, len(outgoing.body))
         return done
 
     def dataReceived(self, chunk: bytes) -> None:
@@ -238,7 +242,7 @@
 
     def _on_event(self, exchange: _Exchange, event: object) -> None:
         if isinstance(event, h11.InformationalResponse):
-            self._on_informational(exchange, event.status_code)
+            self._on_informational(exchange, event)
         elif isinstance(event, h11.Response):
             exchange.response = event
         elif isinstance(event, h11.Data):
@@ -251,12 +255,29 @@
         else:
             self._abort_exchange(Reason.TARGET_FAILED)
 
-    def _on_informational(self, exchange: _Exchange, status: int) -> None:
+    def _on_informational(
+        self, exchange: _Exchange, event: h11.InformationalResponse
+    ) -> None:
         exchange.on_acknowledged()
-        outgoing = exchange.outgoing
         is_waiting = self._parser.our_state is h11.SEND_BODY
-        if status == HTTPStatus.CONTINUE and is_waiting:
-            self._write(_encode_body(self._parser, outgoing))
+        if event.status_code != HTTPStatus.CONTINUE or not is_waiting:
+            return
+        granted = header_value(event.headers, BODY_GRANTED.lower())
+        length = len(exchange.outgoing.body)
+        if granted.isdecimal():
+            self._send_part(exchange, min(int(granted), length))
+        else:
+            self._send_body(exchange, length)
+
+    def _send_body(self, exchange: _Exchange, length: int) -> None:
+        self._send_part(exchange, length)
+        self._write(self._parser.send(h11.EndOfMessage()) or b'')
+
+    def _send_part(self, exchange: _Exchange, end: int) -> None:
+        part = exchange.outgoing.body[exchange.sent_bytes : end]
+        if part:
+            exchange.sent_bytes = end
+            self._write(self._parser.send(h11.Data(data=part)) or b'')
 
     def _on_end(self, exchange: _Exchange) -> None:
         response = cast(h11.Response, exchange.response)
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -18,6 +18,7 @@
 
 from marjoramlead.bodies import BodyStream
 from marjoramlead.clock import Clock, Timer
+from marjoramlead.headers import BODY_GRANTED
 from marjoramlead.problems import BufferedResponse
 
 __all__ = (
@@ -120,10 +121,27 @@
             self.body.connection_lost()
         super().connectionLost(reason)
 
-    def send_continue(self) -> None:
-        """Send "100 Continue" if the caller expects it before the body."""
-        if expects_continue(self) and not self._is_response_finished:
-            self.channel.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+    def send_continue(self, granted: int | None = None) -> None:
+        """Send "100 Continue" if the caller expects it before the body.
+
+        Parameters
+        ----------
+        granted
+            Bytes of the body that may be sent so far; None for all of it. Only
+            other nodes understand such a limit.
+        """
+        if not expects_continue(self) or self._is_response_finished:
+            return
+        limit = (
+            b''
+            if granted is None
+            else b'%s: %d\r\n'
+            % (
+                BODY_GRANTED,
+                granted,
+            )
+        )
+        self.channel.transport.write(b'HTTP/1.1 100 Continue\r\n%s\r\n' % limit)
 
     def send_response(self, response: BufferedResponse) -> None:
         """Send a complete response."""
--- /dev/null
+++ b/marjoramlead/incoming_body.py
@@ -0,0 +1,133 @@
+"""A body that another node sends in parts, as this node grants them."""
+
+from typing import Final
+
+from twisted.internet.defer import CancelledError, Deferred
+
+from marjoramlead.bodies import BodyStream
+from marjoramlead.body_grants import (
+    FINAL_PART_BYTES,
+    BodyGrants,
+    add_body,
+    grant_bytes,
+    record_received,
+    remove_body,
+)
+from marjoramlead.clock import Clock, Timer
+from marjoramlead.events import emit
+from marjoramlead.http_server import StreamRequest
+from marjoramlead.verdict import Reason, Refusal, Verdict
+
+__all__ = ('IncomingBody',)
+
+# Time for which a sender may send nothing of what was granted. It allows for
+# one lost packet, which TCP retransmits after 200 ms.
+SENDER_TIMEOUT_S: Final = 0.5
+
+
+class IncomingBody:
+    """The body of one request, read from its arrival on.
+
+    Attributes
+    ----------
+    length
+        Length of the body in bytes.
+    """
+
+    def __init__(
+        self,
+        req: StreamRequest,
+        stream: BodyStream,
+        length: int,
+        grants: BodyGrants,
+        reactor: Clock,
+    ) -> None:
+        self.length = length
+        self._req = req
+        self._grants = grants
+        self._reactor = reactor
+        self._chunks: list[bytes] = []
+        self._received = 0
+        self._goal = 0
+        self._granted = 0
+        self._refusal: Refusal | None = None
+        self._waiter: Deferred[None] | None = None
+        self._timer: Timer | None = None
+        self._number = id(self)
+        finished = stream.startProducing(self)
+        finished.addErrback(lambda _failure: self._fail(Reason.BODY_CUT))
+
+    def write(self, chunk: bytes) -> None:
+        """Keep a chunk that has arrived."""
+        self._chunks.append(chunk)
+        self._received += len(chunk)
+        record_received(self._grants, self._number, self._received)
+        self._watch_sender()
+        if self._received >= self._goal:
+            self._wake()
+        grant_bytes(self._grants)
+
+    async def receive_ahead(self) -> bytes | Refusal:
+        """Receive all but the final part, as the link allows."""
+        self._goal = max(0, self.length - FINAL_PART_BYTES)
+        add_body(self._grants, self._number, self._goal, self._grant)
+        try:
+            grant_bytes(self._grants)
+            return await self._receive()
+        finally:
+            remove_body(self._grants, self._number)
+            grant_bytes(self._grants)
+
+    async def receive_end(self) -> bytes | Refusal:
+        """Ask the sender for the final part, and return the whole body."""
+        self._goal = self.length
+        self._granted = self.length
+        self._req.send_continue()
+        return await self._receive()
+
+    async def _receive(self) -> bytes | Refusal:
+        self._watch_sender()
+        if self._refusal is None and self._received < self._goal:
+            self._waiter = Deferred()
+            try:
+                await self._waiter
+            except (CancelledError, GeneratorExit):
+                self._waiter = None
+                self._cancel_timer()
+                raise
+        return self._refusal or b''.join(self._chunks)
+
+    def _grant(self, end: int) -> None:
+        self._granted = end
+        self._req.send_continue(end)
+        self._watch_sender()
+
+    def _watch_sender(self) -> None:
+        self._cancel_timer()
+        if self._received < self._granted and self._refusal is None:
+            self._timer = self._reactor.callLater(
+                SENDER_TIMEOUT_S, self._fail, Reason.CALLER_GONE
+            )
+
+    def _fail(self, reason: Reason) -> None:
+        emit(
+            'body_lost',
+            reason=reason,
+            length=self.length,
+            granted=self._granted,
+            received=self._received,
+        )
+        self._cancel_timer()
+        self._refusal = Refusal(reason, Verdict.NOT_RUN, 0)
+        self._wake()
+
+    def _wake(self) -> None:
+        waiter = self._waiter
+        self._waiter = None
+        if waiter is not None:
+            waiter.callback(None)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -32,12 +32,13 @@
     encode_report,
 )
 from marjoramlead.http_server import StreamRequest, expects_continue
+from marjoramlead.incoming_body import IncomingBody
 from marjoramlead.ledger import Outcome, query_outcome
 from marjoramlead.problems import BufferedResponse
 from marjoramlead.replies import response_from_reply
 from marjoramlead.target_gate import TargetGate
 from marjoramlead.target_queue import load_report
-from marjoramlead.target_runs import abandon_job, serve_job
+from marjoramlead.target_runs import PendingBody, abandon_job, serve_job
 from marjoramlead.upstream import Reply
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
@@ -101,18 +102,23 @@
     job = _build_job(req, terms, gate.reactor.seconds())
     req.notifyFinish().addErrback(lambda _gone: abandon_job(gate, job))
     return await serve_job(
-        gate,
-        job,
-        lambda: _read_body(req),
-        has_pending_body=expects_continue(req),
+        gate, job, lambda: _read_body(req), _pending_body(gate, req)
     )
 
 
+def _pending_body(gate: TargetGate, req: StreamRequest) -> PendingBody | None:
+    """Return the body if its sender waits to be told to send it."""
+    stream = req.body
+    if not (expects_continue(req) and isinstance(stream, BodyStream)):
+        return None
+    length = stream.length if isinstance(stream.length, int) else 0
+    body = IncomingBody(req, stream, length, gate.body_grants, gate.reactor)
+    return PendingBody(length, body.receive_ahead, body.receive_end)
+
+
 async def _read_body(req: StreamRequest) -> bytes | Refusal:
-    """Send ``100 Continue`` if expected, and wait for the whole body."""
     if not isinstance(req.body, BodyStream):
         return b''
-    req.send_continue()
     collected = await collect_body(req.body)
     return collected if isinstance(collected, Refusal) else collected.content
 
--- a/marjoramlead/platform/settings.py
+++ b/marjoramlead/platform/settings.py
@@ -15,6 +15,9 @@
 
 __all__ = ('load_sidecar_config',)
 
+BYTES_PER_S_OF_MBPS: Final = 125_000
+# Rate of a link that the settings do not name.
+DEFAULT_LINK_MBPS: Final = 1000.0
 # Bounds that apply where the settings do not set them.
 DEFAULT_BOUNDS: Final = {  # noqa: WPS407  # never modified
     'Grace': '6s',
@@ -57,6 +60,9 @@
         seeds=tuple(map(parse_address, settings.get('seeds', ()))),
         heartbeat_s=parse_duration(settings['heartbeat']),
         termination_grace_s=parse_duration(bounds['Grace']),
+        link_bytes_per_s=(
+            settings.get('link_mbps', DEFAULT_LINK_MBPS) * BYTES_PER_S_OF_MBPS
+        ),
         budget=MeshRetryBudgetConfig(
             ratio=float(bounds['RetryBudgetRatio']),
             slack=float(bounds['BudgetSlack']),
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -9,6 +9,7 @@
 from twisted.internet.task import LoopingCall
 
 from marjoramlead.address import Address
+from marjoramlead.body_grants import BodyGrants
 from marjoramlead.client_requests import ClientFrontend
 from marjoramlead.clock import Reactor
 from marjoramlead.dispatch import Dispatcher
@@ -130,6 +131,7 @@
         ConnectionPool(reactor, config.target, TARGET_IDLE_TIMEOUT_S, connect),
         AttemptLedger(reactor.seconds()),
         metrics,
+        BodyGrants(config.link_bytes_per_s),
     )
     sidecar: Sidecar
     store_watcher = StoreWatcher(
--- a/marjoramlead/sidecar_config.py
+++ b/marjoramlead/sidecar_config.py
@@ -33,6 +33,8 @@
         Control addresses of other nodes, used until targets are known.
     termination_grace_s
         Seconds from SIGTERM until the process must have ended.
+    link_bytes_per_s
+        Rate of this host's network link.
     budget
         Limits on the retries of all nodes together.
     """
@@ -50,4 +52,5 @@
     seeds: tuple[Address, ...]
     heartbeat_s: float
     termination_grace_s: float
+    link_bytes_per_s: float
     budget: MeshRetryBudgetConfig
--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 
+from marjoramlead.body_grants import BodyGrants, arrival_time
 from marjoramlead.clock import Clock, Timer
 from marjoramlead.events import emit
 from marjoramlead.header_names import HeaderNames
@@ -19,6 +20,7 @@
     note_leaving,
 )
 from marjoramlead.metrics import Metrics
+from marjoramlead.queue_estimates import expected_service_time
 from marjoramlead.routes import ServiceConfig
 from marjoramlead.target_notices import read_notice
 from marjoramlead.target_queue import (
@@ -71,6 +73,8 @@
     waiters
         Deferreds of waiting requests, by number. Each fires with None when the
         request may run, or with its refusal.
+    body_grants
+        Bodies that other nodes send for the local target.
     tasks
         Tasks that serve the current attempts, by attempt id.
     target_entry
@@ -93,6 +97,7 @@
     pool: ConnectionPool
     ledger: AttemptLedger
     metrics: Metrics
+    body_grants: BodyGrants
     queue: TargetQueue = field(default_factory=TargetQueue)
     request_numbers: 'count[int]' = field(default_factory=count)
     waiters: dict[int, Deferred[Refusal | None]] = field(default_factory=dict)
@@ -187,19 +192,26 @@
 
 
 async def acquire_slot(
-    gate: TargetGate, job: Job, number: int, *, has_pending_body: bool = False
+    gate: TargetGate, job: Job, number: int, pending_bytes: int = 0
 ) -> Refusal | None:
     """Acquire a slot, waiting for one only if ``job.may_wait`` is set.
 
     Returns None once the request may run, or its refusal.
+
+    Parameters
+    ----------
+    gate
+        Gate of the local target.
+    job
+        Request to run.
+    number
+        Unique number of the request at this gate.
+    pending_bytes
+        Length of the body if the sender waits to be told to send it.
     """
     refusal = refuse_if_unavailable(gate, job.target_id)
     if refusal is not None:
         return refusal
-    if has_pending_body and len(gate.queue.receiving) >= gate.queue.slots:
-        return Refusal(
-            Reason.OVERLOAD, Verdict.NOT_RUN, RECEIVING_RETRY_AFTER_S
-        )
     entry = QueueEntry(
         number,
         job.request_id,
@@ -212,6 +224,9 @@
         job.has_reservation,
     )
     now = gate.reactor.seconds()
+    refusal = _refuse_late_body(gate, entry, pending_bytes, now)
+    if refusal is not None:
+        return refusal
     if not gate.has_target_responded and job.rate_limit_per_s is not None:
         _set_rate_limit(gate, job.rate_limit_per_s, now)
     admitted = admit(gate.queue, entry, now, may_wait=job.may_wait)
@@ -220,7 +235,40 @@
     if admitted:
         return None
     _schedule_start(gate, now)
-    return await _wait_for_slot(gate, entry)
+    refusal = await _wait_for_slot(gate, entry)
+    if refusal is None:
+        refusal = _refuse_late_body(
+            gate, entry, pending_bytes, gate.reactor.seconds()
+        )
+        if refusal is not None:
+            release_slot(gate, number)
+    return refusal
+
+
+def _refuse_late_body(
+    gate: TargetGate, entry: QueueEntry, length: int, now: float
+) -> Refusal | None:
+    """Refuse a request whose body would arrive too late after all others."""
+    if not length:
+        return None
+    if len(gate.queue.receiving) >= gate.queue.slots:
+        return Refusal(
+            Reason.OVERLOAD, Verdict.NOT_RUN, RECEIVING_RETRY_AFTER_S
+        )
+    service_time = expected_service_time(gate.queue, entry, now)
+    alone_s = length / gate.body_grants.link_bytes_per_s
+    end = arrival_time(gate.body_grants, length, now) + service_time
+    latest_end = entry.deadline
+    could_be_in_time = now + alone_s + service_time <= entry.soft_deadline
+    if could_be_in_time and not entry.has_reservation:
+        latest_end = entry.soft_deadline
+    if end <= latest_end:
+        return None
+    return Refusal(
+        Reason.OVERLOAD,
+        Verdict.NOT_RUN,
+        max(RECEIVING_RETRY_AFTER_S, end - service_time - alone_s - now),
+    )
 
 
 async def receive_body(
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -1,7 +1,7 @@
 """Run requests at the local target and classify their outcomes."""
 
 from http import HTTPStatus
-from typing import Final
+from typing import Final, NamedTuple
 
 from twisted.internet.defer import CancelledError, Deferred
 
@@ -31,7 +31,7 @@
 )
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
-__all__ = ('ReadBody', 'abandon_job', 'serve_job')
+__all__ = ('PendingBody', 'ReadBody', 'abandon_job', 'serve_job')
 
 MS_PER_SECOND: Final = 1000
 # Time after the deadline during which the target's response is still awaited. A
@@ -46,6 +46,25 @@
 WRONG_TARGET_STATUS: Final = HTTPStatus.MISDIRECTED_REQUEST
 
 
+class PendingBody(NamedTuple):
+    """A body that its sender sends when told to.
+
+    Attributes
+    ----------
+    length
+        Length in bytes.
+    receive_ahead
+        Receives what may arrive before the request has a slot.
+    receive_end
+        Asks the sender for the rest, and returns the whole body. A sender that
+        no longer waits for the answer does not send it, so it is not run.
+    """
+
+    length: int
+    receive_ahead: ReadBody
+    receive_end: ReadBody
+
+
 async def _read_job_body(job: Job) -> bytes:
     return job.body
 
@@ -54,8 +73,7 @@
     gate: TargetGate,
     job: Job,
     read_body: ReadBody | None = None,
-    *,
-    has_pending_body: bool = False,
+    pending_body: PendingBody | None = None,
 ) -> Deferred[Outcome]:
     """Serve one request to its end; cancelling the result stops it.
 
@@ -66,10 +84,10 @@
     job
         Request to run.
     read_body
-        Reads the body once the request has a slot; without it, the body in
-        ``job`` is used.
-    has_pending_body
-        Whether the sender waits to be told before it sends the body.
+        Reads a body that its sender has sent without being told to; without
+        it, the body in ``job`` is used.
+    pending_body
+        Body that the sender sends when told to.
     """
     now = gate.reactor.seconds()
     attempt = attempt_id(job.request_id, job.attempt)
@@ -84,7 +102,7 @@
             gate,
             job,
             read_body or (lambda: _read_job_body(job)),
-            has_pending_body,
+            pending_body,
         ),
     )
     if not task.called:
@@ -116,13 +134,13 @@
     gate: TargetGate,
     job: Job,
     read_body: ReadBody,
-    has_pending_body: bool,
+    pending_body: PendingBody | None,
 ) -> Outcome:
     outcome: Outcome = Refusal(Reason.CALLER_GONE, Verdict.MAY_HAVE_RUN, 0)
     started_at = gate.reactor.seconds()
     number = next(gate.request_numbers)
     try:
-        ready = await _prepare(gate, job, number, read_body, has_pending_body)
+        ready = await _prepare(gate, job, number, read_body, pending_body)
     except CancelledError:
         ready = not_run_refusal(Reason.CALLER_GONE)
     try:
@@ -140,20 +158,20 @@
     job: Job,
     number: int,
     read_body: ReadBody,
-    has_pending_body: bool,
+    pending_body: PendingBody | None,
 ) -> ReadBody | Refusal:
-    """Wait until the request has a slot, and its body if that is pending."""
-    refusal = await acquire_slot(
-        gate, job, number, has_pending_body=has_pending_body
-    )
+    """Wait until the request has a slot, and its body if that is pending.
+
+    The end of a pending body is left to be read in the slot.
+    """
+    length = pending_body.length if pending_body else 0
+    refusal = await acquire_slot(gate, job, number, length)
     if refusal is not None:
         return refusal
-    if not has_pending_body:
+    if pending_body is None:
         return read_body
-    body = await receive_body(gate, job, number, read_body)
-    if isinstance(body, Refusal):
-        return body
-    return lambda: _read_job_body(job._replace(body=body))
+    body = await receive_body(gate, job, number, pending_body.receive_ahead)
+    return body if isinstance(body, Refusal) else pending_body.receive_end
 
 
 def _complete(
@@ -361,6 +379,7 @@
         may_wait=job.may_wait,
         priority=job.priority,
         running=len(gate.queue.running),
+        receiving=len(gate.queue.receiving),
         waiting=len(gate.queue.waiting),
         slots=gate.queue.slots,
         is_cold=now < gate.queue.cold_until,
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -108,6 +108,7 @@
     net: MemoryNet = field(default_factory=MemoryNet)
     hosts: list[Host] = field(default_factory=list)
     exchange_count: int = 0
+    link_bytes_per_s: float = 125e6
 
     def __post_init__(self) -> None:
         self.reactor = MemoryReactor(self.net)
@@ -157,6 +158,7 @@
             seeds=(),
             heartbeat_s=1.5,
             termination_grace_s=6,
+            link_bytes_per_s=self.link_bytes_per_s,
             budget=BUDGET,
         )
         adapter = PlatformAdapter(
--- a/tests/test_target_runs.py
+++ b/tests/test_target_runs.py
@@ -3,7 +3,7 @@
 from twisted.internet.defer import Deferred
 
 from marjoramlead.hops import Job
-from marjoramlead.target_runs import abandon_job, serve_job
+from marjoramlead.target_runs import PendingBody, abandon_job, serve_job
 from marjoramlead.verdict import Reason, Refusal, Verdict
 from tests.platform_mesh import ready_mesh
 
@@ -41,11 +41,15 @@
     """Offer an upload; return its job, its body and what becomes of it."""
     job, body, outcomes = upload_job(mesh, request_id, wait_s), Deferred(), []
 
-    async def read_body():
+    async def receive_ahead():
         return await body
 
+    async def receive_end():
+        return BODY
+
     gate = mesh.hosts[0].sidecar.gate
-    serving = serve_job(gate, job, read_body, has_pending_body=True)
+    pending_body = PendingBody(len(BODY), receive_ahead, receive_end)
+    serving = serve_job(gate, job, pending_body=pending_body)
     serving.addCallback(outcomes.append)
     return job, body, outcomes
 
