Cancel a request that was not yet sent to its target when its caller leaves

A request that is not idempotent was sent to its target up to 0.45 s after its caller had left. Cause: it counted as running from the moment that it had a slot, while its connection to the target was still being opened, and running requests of such routes are not cancelled. Now they are not once they have been sent; one that was not ends as not run.

test_request_is_not_sent_to_a_target_after_its_caller_has_left failed before for another reason: a connection of a probe was idle, so the request was sent at once. The test now closes it and checks that the request waits; it fails on the code before (arrival at 1.3 s, 0.25 s after the caller had left) and passes now.

--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -77,6 +77,8 @@
         Bodies that other nodes send for the local target.
     tasks
         Tasks that serve the current attempts, by attempt id.
+    sent_attempts
+        Ids of the current attempts that were sent to the target.
     target_entry
         Published entry of the target, or None if it is unknown.
     is_restart_suspected
@@ -102,6 +104,7 @@
     request_numbers: 'count[int]' = field(default_factory=count)
     waiters: dict[int, Deferred[Refusal | None]] = field(default_factory=dict)
     tasks: dict[str, Deferred[Outcome]] = field(default_factory=dict)
+    sent_attempts: set[str] = field(default_factory=set)
     target_entry: TargetEntry | None = None
     is_draining: bool = False
     is_restart_suspected: bool = False
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -113,10 +113,11 @@
 def abandon_job(gate: TargetGate, job: Job) -> None:
     """Cancel a request whose sender has disconnected.
 
-    A request that is not idempotent and has started runs to its end, so that
-    the sender can still query its outcome.
+    A request that is not idempotent and was sent to the target runs to its end,
+    so that the sender can still query its outcome.
     """
-    task = gate.tasks.get(attempt_id(job.request_id, job.attempt))
+    attempt = attempt_id(job.request_id, job.attempt)
+    task = gate.tasks.get(attempt)
     if task is None:
         return
     running_numbers = {
@@ -124,7 +125,8 @@
         for number, (entry, _started_at) in gate.queue.running.items()
         if entry.request_id == job.request_id
     }
-    is_cancelled = job.retry_policy == 'idempotent' or not running_numbers
+    is_sent = attempt in gate.sent_attempts
+    is_cancelled = job.retry_policy == 'idempotent' or not is_sent
     _record_abandoned(gate, job, running_numbers, is_cancelled=is_cancelled)
     if is_cancelled:
         task.cancel()
@@ -148,6 +150,10 @@
             outcome = ready
         else:
             outcome = await _run_in_slot(gate, job, number, ready, started_at)
+    except CancelledError:
+        if attempt_id(job.request_id, job.attempt) in gate.sent_attempts:
+            raise
+        outcome = not_run_refusal(Reason.CALLER_GONE)
     finally:
         _complete(gate, job, outcome, started_at)
     return outcome
@@ -182,6 +188,7 @@
 ) -> None:
     attempt = attempt_id(job.request_id, job.attempt)
     gate.tasks.pop(attempt, None)
+    gate.sent_attempts.discard(attempt)
     record_outcome(gate.ledger, attempt, outcome, gate.reactor.seconds())
     _log_outcome(gate, job, outcome, started_at)
 
@@ -237,9 +244,15 @@
         _target_headers(gate, job, now),
         job.body,
     )
+    attempt = attempt_id(job.request_id, job.attempt)
     wait = TimedWait(
         gate.reactor,
-        send(gate.pool, outgoing, lambda reply: _is_reply_to(gate, job, reply)),
+        send(
+            gate.pool,
+            outgoing,
+            lambda reply: _is_reply_to(gate, job, reply),
+            on_connected=lambda: gate.sent_attempts.add(attempt),
+        ),
     )
     wait.add_deadline(job.deadline + TARGET_RESPONSE_GRACE_S)
     return await wait.result()
--- a/tests/test_callers_that_leave.py
+++ b/tests/test_callers_that_leave.py
@@ -9,6 +9,7 @@
 import pytest
 from twisted.internet.protocol import Factory, Protocol
 
+from marjoramlead.upstream import close_idle
 from tests.platform_mesh import INBOUND, OUTBOUND, TARGET, ready_mesh
 
 # Longest time that a caller's leaving may take to reach a target.
@@ -119,9 +120,11 @@
 
 def test_request_is_not_sent_to_a_target_after_its_caller_has_left():
     mesh = ready_mesh('web', 'api')
+    close_idle(mesh.hosts[0].sidecar.gate.pool)  # left by a probe
     mesh.net.connect_delays[mesh.hosts[0].address, TARGET] = 0.3
     sent = mesh.send(mesh.hosts[1], '/once/x', method=b'POST')
     mesh.advance(0.05)
+    assert len(mesh.hosts[0].sidecar.gate.queue.running) == 1
     sent.pending.cancel()
     mesh.advance(0.5)
     assert not arrivals(mesh.hosts[0], sent.request_id)
