Hear the close of a client that has sent up to 64 KB ahead

A client that sends more than 16 KB of later requests and leaves was not heard until its first request had ended: the HTTP server stops reading then.

--- a/marjoramlead/bodies.py
+++ b/marjoramlead/bodies.py
@@ -15,7 +15,14 @@
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
 from zope.interface import implementer
 
-__all__ = ('BodyStream', 'BufferedBody', 'Consumer', 'Pausable', 'RequestBody')
+__all__ = (
+    'MAX_UNREAD_BYTES',
+    'BodyStream',
+    'BufferedBody',
+    'Consumer',
+    'Pausable',
+    'RequestBody',
+)
 
 # Bytes of a body without a consumer that are kept before reading stops. Larger
 # bodies are sent when the caller is told to.
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -16,7 +16,7 @@
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel, HTTPFactory, Request
 
-from marjoramlead.bodies import BodyStream
+from marjoramlead.bodies import MAX_UNREAD_BYTES, BodyStream
 from marjoramlead.clock import Clock, Timer
 from marjoramlead.headers import BODY_GRANTED
 from marjoramlead.problems import BufferedResponse
@@ -226,6 +226,9 @@
     handler: Handler
     site: 'StreamSite'
     transport: Transport  # type: ignore[assignment]  # always TCP
+    # Bytes of later requests that are kept before reading stops, and with it
+    # the notice of a close.
+    _optimisticEagerReadSize = MAX_UNREAD_BYTES  # noqa: WPS115  # overrides
 
     def __init__(self) -> None:
         super().__init__()
