Bound the time for which a body may hold a place or a slot

Cause: waits for a body had no deadline. Four cases of tests/test_wasted_work.py failed before (test_body_that_stops_arriving_*, test_request_after_a_body_*).

--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -9,6 +9,7 @@
 
 from marjoramlead.body_grants import BodyGrants, arrival_time
 from marjoramlead.clock import Clock, Timer
+from marjoramlead.deadlines import TimedWait
 from marjoramlead.events import emit
 from marjoramlead.header_names import HeaderNames
 from marjoramlead.hops import Job
@@ -75,6 +76,8 @@
         request may run, or with its refusal.
     body_grants
         Bodies that other nodes send for the local target.
+    jobs
+        Current attempts, by attempt id.
     tasks
         Tasks that serve the current attempts, by attempt id.
     sent_attempts
@@ -103,6 +106,7 @@
     queue: TargetQueue = field(default_factory=TargetQueue)
     request_numbers: 'count[int]' = field(default_factory=count)
     waiters: dict[int, Deferred[Refusal | None]] = field(default_factory=dict)
+    jobs: dict[str, Job] = field(default_factory=dict)
     tasks: dict[str, Deferred[Outcome]] = field(default_factory=dict)
     sent_attempts: set[str] = field(default_factory=set)
     target_entry: TargetEntry | None = None
@@ -286,11 +290,15 @@
     begin_receiving(queue, number, reactor.seconds())
     start_waiting_requests(gate, reactor.seconds())
     entry = queue.receiving[number]
+    reading = TimedWait(reactor, read_body())
+    reading.add_deadline(job.deadline)
     try:
-        body = await read_body()
+        body = await reading.result()
     except (CancelledError, GeneratorExit):
         queue.receiving.pop(number)
         raise
+    if body is None:
+        body = not_run_refusal(Reason.DEADLINE)
     refusal = refuse_if_unavailable(gate, job.target_id)
     if isinstance(body, Refusal) or refusal is not None:
         queue.receiving.pop(number)
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -8,7 +8,12 @@
 from marjoramlead.deadlines import TimedWait
 from marjoramlead.events import emit
 from marjoramlead.hops import Job, attempt_id
-from marjoramlead.ledger import Outcome, record_outcome, register_attempt
+from marjoramlead.ledger import (
+    Outcome,
+    query_outcome,
+    record_outcome,
+    register_attempt,
+)
 from marjoramlead.queue_statistics import record_service_time
 from marjoramlead.target_gate import (
     ReadBody,
@@ -31,12 +36,21 @@
 )
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
-__all__ = ('PendingBody', 'ReadBody', 'abandon_job', 'serve_job')
+__all__ = (
+    'PendingBody',
+    'ReadBody',
+    'abandon_job',
+    'serve_job',
+    'withdraw_attempt',
+)
 
 MS_PER_SECOND: Final = 1000
 # Time after the deadline during which the target's response is still awaited. A
 # target stops a request at the deadline that it was given, and then responds.
 TARGET_RESPONSE_GRACE_S: Final = 0.1
+# Longest time for which a request holds a slot while its body arrives. TCP
+# repeats a lost packet after 200 ms.
+BODY_TIMEOUT_S: Final = 0.5
 # Deducted from the time limit sent to a target, so that its response can return
 # before the deadline.
 RETURN_MARGIN_S: Final = 0.005
@@ -107,6 +121,7 @@
     )
     if not task.called:
         gate.tasks[attempt] = task
+        gate.jobs[attempt] = job
     return task
 
 
@@ -132,6 +147,21 @@
         task.cancel()
 
 
+def withdraw_attempt(gate: TargetGate, attempt: str, sent_at: float) -> Refusal:
+    """Drop an attempt whose caller has left; bar one that has not arrived.
+
+    Returns
+    -------
+    A refusal for the sender, which does not use it.
+    """
+    job = gate.jobs.get(attempt)
+    if job is None:
+        query_outcome(gate.ledger, attempt, sent_at, gate.reactor.seconds())
+    else:
+        abandon_job(gate, job)
+    return Refusal(Reason.CALLER_GONE, Verdict.MAY_HAVE_RUN, 0)
+
+
 async def _serve(
     gate: TargetGate,
     job: Job,
@@ -188,6 +218,7 @@
 ) -> None:
     attempt = attempt_id(job.request_id, job.attempt)
     gate.tasks.pop(attempt, None)
+    gate.jobs.pop(attempt, None)
     gate.sent_attempts.discard(attempt)
     record_outcome(gate.ledger, attempt, outcome, gate.reactor.seconds())
     _log_outcome(gate, job, outcome, started_at)
@@ -225,7 +256,13 @@
     read_body: ReadBody,
     arrived_at: float,
 ) -> Outcome:
-    body = await read_body()
+    reading = TimedWait(gate.reactor, read_body())
+    reading.add_deadline(
+        min(job.deadline, gate.reactor.seconds() + BODY_TIMEOUT_S)
+    )
+    body = await reading.result()
+    if body is None:
+        return not_run_refusal(Reason.BODY_CUT)
     if isinstance(body, Refusal):
         return body
     now = gate.reactor.seconds()
