Withdraw what nobody waits for, and keep what is only late, between two nodes

Work went on for callers that had left if the connection to the target's node was silent or cut: a cancelled hop sent one reset, which is lost on a bad link, and a fate query that was cancelled told nobody. Both come from one assumption: that a connection shows at once what the other node knows.

A cancelled hop ends sending and waits for the other node to close, too, which TCP repeats. If it has not closed after 0.15 s, the attempt is withdrawn over a new connection; one that has not arrived is barred. A hop that is not acknowledged is kept while its outcome is queried, and the first answer counts. The time to acknowledge starts when the connection is there.

--- a/marjoramlead/hop_client.py
+++ b/marjoramlead/hop_client.py
@@ -2,14 +2,17 @@
 
 If a node does not acknowledge a request in time, or its connection fails, the
 outcome of the request is queried over a new connection. This recovers the
-response, or shows whether the request may be retried at another target.
+response, or shows whether the request may be retried at another target. A
+request whose caller leaves is withdrawn in the same way, unless the node has
+heard the close of its connection.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
 
 from marjoramlead.clock import Clock, Timer
 from marjoramlead.deadlines import TimedWait
@@ -55,6 +58,9 @@
 # Bodies of at least this size are sent with "Expect: 100-continue", so that
 # they cross the network only once the target has a slot for the request.
 EXPECT_CONTINUE_BYTES: Final = 4096
+# Time after a cancellation until a node that has not closed the connection is
+# told over a new one. TCP repeats a lost packet after 200 ms only.
+WITHDRAW_DELAY_S: Final = 0.15
 # Interval between queries for the outcome of a request.
 FATE_QUERY_INTERVAL_S: Final = 0.25
 # The server closes idle connections between nodes after 75 s.
@@ -76,11 +82,21 @@
     ----------
     connected_at, acknowledged_at
         None before the stage.
+    silent
+        Fires if the node does not acknowledge the job in time.
+    silence_timer
+        Timer of ``silent``; None before the job is sent.
+    is_settled
+        Whether the node knows that the job is over: it has told the outcome, or
+        has closed the connection that was cancelled here.
     """
 
     offered_at: float
     connected_at: float | None = None
     acknowledged_at: float | None = None
+    silent: Deferred[None] = field(default_factory=Deferred)
+    silence_timer: Timer | None = None
+    is_settled: bool = False
 
 
 @dataclass(slots=True)
@@ -113,11 +129,55 @@
     job: Job,
     target: TargetEntry,
 ) -> Outcome:
-    """Offer a job to the node of its target and return the outcome."""
+    """Offer a job to the node of its target and return the outcome.
+
+    If the node does not acknowledge the job in time, the outcome is queried
+    while the connection is kept; the first answer counts.
+    """
     host = target.address[0]
-    sent_at = client.reactor.seconds()
-    progress = _HopProgress(sent_at)
-    result = await _send_job(client, job, host, progress)
+    progress = _HopProgress(client.reactor.seconds())
+    sending = Deferred.fromCoroutine(_send_job(client, job, host, progress))
+    querying = Deferred.fromCoroutine(
+        _query_when_silent(client, job, host, progress)
+    )
+    return await _first_of([sending, querying])
+
+
+def _first_of(pending: list[Deferred[Outcome]]) -> Deferred[Outcome]:
+    """Return the first result or failure, and cancel the others."""
+
+    def cancel(_first: object = None) -> None:
+        for each in pending:
+            each.cancel()
+
+    def on_end(result: Outcome | Failure) -> None:
+        if not first.called:
+            first.callback(result)
+            cancel()
+
+    first: Deferred[Outcome] = Deferred(cancel)
+    for each in pending:
+        each.addBoth(on_end)
+    return first
+
+
+async def _send_job(
+    client: HopClient, job: Job, host: str, progress: _HopProgress
+) -> Outcome:
+    """Send a job and return its outcome, also if the connection fails.
+
+    Once cancelled, the job is withdrawn unless its node has heard the close.
+    """
+    try:
+        result = await _exchange(client, job, host, progress)
+    except CancelledError:
+        if progress.connected_at is not None:
+            client.reactor.callLater(
+                WITHDRAW_DELAY_S, _withdraw_unheard, client, job, host, progress
+            )
+        raise
+    finally:
+        _cancel_timer(progress.silence_timer)
     if isinstance(result, Reply):
         return _process_reply(client, job, result)
     if not result.may_have_arrived:
@@ -126,26 +186,17 @@
             client.reactor.seconds(),
         )
         return Refusal(Reason.CONNECT_FAILED, Verdict.NOT_RUN, 0)
-    emit(
-        'hop_lost',
-        request_id=job.request_id,
-        target=job.target_id,
-        reason=result.reason,
-        bytes=len(job.body),
-        connected_ms=_elapsed_ms(progress, progress.connected_at),
-        acknowledged_ms=_elapsed_ms(progress, progress.acknowledged_at),
-        lost_ms=_elapsed_ms(progress, client.reactor.seconds()),
-    )
-    return await _resolve_fate(client, job, host, sent_at)
+    _log_lost_hop(client, job, progress, result.reason)
+    return await _resolve_fate(client, job, host, progress.offered_at)
 
 
-async def _send_job(
+async def _exchange(
     client: HopClient,
     job: Job,
     host: str,
     progress: _HopProgress,
 ) -> Reply | ConnectionFailure:
-    """Send a job, bounded by the acknowledgement timeout and its deadline."""
+    """Send a job and wait for the reply, at most until its deadline."""
     now = client.reactor.seconds()
     headers = [*job.headers, (JOB_HEADER, encode_job(job, now))]
     outgoing = OutgoingRequest(
@@ -158,15 +209,21 @@
 
     def on_connected() -> None:
         progress.connected_at = client.reactor.seconds()
+        progress.silence_timer = client.reactor.callLater(
+            ACKNOWLEDGE_TIMEOUT_S, progress.silent.callback, None
+        )
 
     def on_acknowledged() -> None:
-        _cancel_timer(ack_timer)
+        _cancel_timer(progress.silence_timer)
         if progress.acknowledged_at is None:
             progress.acknowledged_at = client.reactor.seconds()
             client.metrics.hop_acknowledgement.observe(
                 progress.acknowledged_at - progress.offered_at
             )
 
+    def on_closed() -> None:
+        progress.is_settled = True
+
     wait = TimedWait(
         client.reactor,
         send(
@@ -174,9 +231,9 @@
             outgoing,
             on_acknowledged=on_acknowledged,
             on_connected=on_connected,
+            on_closed=on_closed,
         ),
     )
-    ack_timer = wait.add_deadline(now + ACKNOWLEDGE_TIMEOUT_S)
     wait.add_deadline(job.deadline + RESPONSE_GRACE_S)
     send_result = await wait.result()
     if send_result is None:
@@ -184,6 +241,64 @@
     return send_result.ok if send_result.is_ok() else send_result.error
 
 
+async def _query_when_silent(
+    client: HopClient, job: Job, host: str, progress: _HopProgress
+) -> Outcome:
+    """Query the outcome of a job that its node does not acknowledge."""
+    await progress.silent
+    _log_lost_hop(client, job, progress, Reason.SILENT)
+    outcome = await _resolve_fate(client, job, host, progress.offered_at)
+    progress.is_settled = isinstance(outcome, Reply) or (
+        outcome.reason is not Reason.SILENT
+    )
+    return outcome
+
+
+def _withdraw_unheard(
+    client: HopClient, job: Job, host: str, progress: _HopProgress
+) -> None:
+    """Withdraw a cancelled job if its node may not have heard the close."""
+    if not progress.is_settled:
+        withdrawing = Deferred.fromCoroutine(
+            _withdraw(client, job, host, progress.offered_at)
+        )
+        withdrawing.addErrback(
+            lambda failure: emit('bug', error=failure.getTraceback())
+        )
+
+
+async def _withdraw(
+    client: HopClient, job: Job, host: str, sent_at: float
+) -> None:
+    """Tell the target's node over a new connection to drop a job."""
+    while client.reactor.seconds() < job.deadline:
+        known = await _query_fate(client, job, host, sent_at, is_withdrawn=True)
+        emit(
+            'withdrawn',
+            request_id=job.request_id,
+            target=job.target_id,
+            is_heard=known is not None,
+        )
+        if known is not None:
+            return
+        await _sleep(client.reactor, FATE_QUERY_INTERVAL_S)
+
+
+def _log_lost_hop(
+    client: HopClient, job: Job, progress: _HopProgress, reason: Reason
+) -> None:
+    emit(
+        'hop_lost',
+        request_id=job.request_id,
+        target=job.target_id,
+        reason=reason,
+        bytes=len(job.body),
+        connected_ms=_elapsed_ms(progress, progress.connected_at),
+        acknowledged_ms=_elapsed_ms(progress, progress.acknowledged_at),
+        lost_ms=_elapsed_ms(progress, client.reactor.seconds()),
+    )
+
+
 def _process_reply(client: HopClient, job: Job, reply: Reply) -> Outcome:
     """Record the report in a response and return the outcome of the job."""
     decoded = decode_report(header_value(reply.headers, REPORT_HEADER))
@@ -249,13 +364,16 @@
     job: Job,
     host: str,
     sent_at: float,
+    *,
+    is_withdrawn: bool = False,
 ) -> Outcome | None:
     """Query the outcome once over a new connection.
 
-    Returns None if the node does not respond.
+    Returns None if the node does not respond. A job that is withdrawn is not
+    started any more.
     """
     now = client.reactor.seconds()
-    query = encode_fate_query(job, now - sent_at)
+    query = encode_fate_query(job, now - sent_at, is_withdrawn=is_withdrawn)
     outgoing = OutgoingRequest(b'POST', FATE_PATH, [(b'Host', b'node')], query)
     pool = ConnectionPool(
         client.reactor,
@@ -285,8 +403,8 @@
     return sleeping
 
 
-def _cancel_timer(timer: Timer) -> None:
-    if timer.active():
+def _cancel_timer(timer: Timer | None) -> None:
+    if timer is not None and timer.active():
         timer.cancel()
 
 
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -194,13 +194,17 @@
     return LoadReport(report['room'], report['wait_s'], report['work_s'])
 
 
-def encode_fate_query(job: Job, sent_ago_s: float) -> bytes:
-    """Encode a query for the outcome of an attempt."""
+def encode_fate_query(
+    job: Job, sent_ago_s: float, *, is_withdrawn: bool = False
+) -> bytes:
+    """Encode a query for the outcome of an attempt, or its withdrawal."""
     query: FateQuestion = {
         'request_id': job.request_id,
         'attempt': job.attempt,
         'sent_ago_s': sent_ago_s,
     }
+    if is_withdrawn:
+        query['is_withdrawn'] = True
     return msgspec.json.encode(query)
 
 
--- a/marjoramlead/http_connection.py
+++ b/marjoramlead/http_connection.py
@@ -29,6 +29,7 @@
     'HeaderList',
     'HttpConnection',
     'OnAcknowledged',
+    'OnClosed',
     'OnTraffic',
     'OutgoingRequest',
     'Reply',
@@ -89,6 +90,7 @@
 SendResult = Result[Reply, ConnectionFailure]
 ReplyMatcher = Callable[[Reply], bool]
 OnAcknowledged = Callable[[], None]
+OnClosed = Callable[[], None]
 # Called with the numbers of bytes sent and received.
 OnTraffic = Callable[[int, int], None]
 
@@ -118,6 +120,9 @@
     def loseConnection(self) -> None:
         """Close the connection once all queued bytes are sent."""
 
+    def loseWriteConnection(self) -> None:
+        """End sending once all queued bytes are sent, but keep receiving."""
+
     def abortConnection(self) -> None:
         """Close the connection at once."""
 
@@ -166,6 +171,7 @@
         self.on_traffic = on_traffic
         self._parser = _new_parser()
         self._exchange: _Exchange | None = None
+        self._on_closed: OnClosed | None = None
 
     def connectionMade(self) -> None:
         """Mark the connection as open."""
@@ -176,12 +182,27 @@
         outgoing: OutgoingRequest,
         matches: ReplyMatcher,
         on_acknowledged: OnAcknowledged,
+        on_closed: OnClosed | None = None,
     ) -> Deferred[SendResult]:
         """Send a request and return the result of the exchange.
 
-        Cancelling the result closes the connection.
+        Cancelling the result closes the connection: at once, or with
+        ``on_closed`` in a way that shows whether the server has heard it.
+
+        Parameters
+        ----------
+        outgoing
+            Request to send.
+        matches
+            Returns whether a response belongs to this request.
+        on_acknowledged
+            Called with each interim response.
+        on_closed
+            Called after a cancellation when the server has closed, too.
         """
-        done: Deferred[SendResult] = Deferred(lambda _done: self.abort())
+        done: Deferred[SendResult] = Deferred(
+            lambda _done: self._cancel(on_closed)
+        )
         exchange = _Exchange(outgoing, matches, on_acknowledged, done)
         self._exchange = exchange
         self._write(_encode_head(self._parser, outgoing))
@@ -192,15 +213,17 @@
     def dataReceived(self, chunk: bytes) -> None:
         """Process received bytes; abort if no request is in progress."""
         self.on_traffic(0, len(chunk))
-        if self._exchange is None:
-            self.abort()
-        else:
+        if self._exchange is not None:
             self._receive(chunk)
+        elif self._on_closed is None:
+            self.abort()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Finish a response delimited by the close, or fail the request."""
         self.is_open = False
         self.on_lost(self)
+        if self._on_closed is not None and reason.check(ConnectionDone):
+            self._on_closed()
         if self._exchange is not None and reason.check(ConnectionDone):
             self._receive(b'')
         self._fail(Reason.TARGET_FAILED)
@@ -217,6 +240,20 @@
         if self.transport is not None:
             self.transport.abortConnection()
 
+    def _cancel(self, on_closed: OnClosed | None) -> None:
+        """Close the connection, which tells the server to stop.
+
+        A half-close is repeated by TCP until it is acknowledged, a reset is
+        sent only once.
+        """
+        self._exchange = None
+        if on_closed is None:
+            self.abort()
+            return
+        self._on_closed = on_closed
+        self.is_open = False
+        self.transport.loseWriteConnection()
+
     def _write(self, chunk: bytes) -> None:
         self.on_traffic(len(chunk), 0)
         self.transport.write(chunk)
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -38,7 +38,12 @@
 from marjoramlead.replies import response_from_reply
 from marjoramlead.target_gate import TargetGate
 from marjoramlead.target_queue import load_report
-from marjoramlead.target_runs import PendingBody, abandon_job, serve_job
+from marjoramlead.target_runs import (
+    PendingBody,
+    abandon_job,
+    serve_job,
+    withdraw_attempt,
+)
 from marjoramlead.upstream import Reply
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
@@ -171,6 +176,8 @@
     fate_query = decoded_query.ok
     sent_at = now - fate_query['sent_ago_s']
     attempt = attempt_id(fate_query['request_id'], fate_query['attempt'])
+    if fate_query.get('is_withdrawn', False):
+        return withdraw_attempt(gate, attempt, sent_at)
     outcome = await query_outcome(gate.ledger, attempt, sent_at, now)
     emit(
         'fate',
--- a/marjoramlead/upstream.py
+++ b/marjoramlead/upstream.py
@@ -18,6 +18,7 @@
     HeaderList,
     HttpConnection,
     OnAcknowledged,
+    OnClosed,
     OnTraffic,
     OutgoingRequest,
     Reply,
@@ -49,6 +50,8 @@
 CONNECT_TIMEOUT_S: Final = 0.45
 # A connection is closed if sent data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_MS: Final = 1500
+# Time for which a server may take to close a connection after a cancellation.
+CLOSE_TIMEOUT_S: Final = 1.0
 # Share of the timeout in the server's Keep-Alive header during which an idle
 # connection is reused.
 KEEP_ALIVE_SHARE: Final = 0.5
@@ -127,6 +130,7 @@
     matches: ReplyMatcher = _match_any,
     on_acknowledged: OnAcknowledged = _ignore_progress,
     on_connected: Callable[[], None] = _ignore_progress,
+    on_closed: OnClosed | None = None,
 ) -> SendResult:
     """Send a request and wait for its complete response.
 
@@ -147,6 +151,9 @@
     on_connected
         Called when a connection is available, just before the request is
         written to it.
+    on_closed
+        Called after a cancellation when the server has closed the connection,
+        too. Without it, the connection is reset.
     """
     connection = _pop_idle(pool)
     if connection is None:
@@ -155,7 +162,14 @@
             return Error(opened.error)
         connection = opened.ok
     on_connected()
-    return await connection.exchange(outgoing, matches, on_acknowledged)
+    try:
+        return await connection.exchange(
+            outgoing, matches, on_acknowledged, on_closed
+        )
+    except CancelledError:
+        if on_closed is not None:
+            pool.reactor.callLater(CLOSE_TIMEOUT_S, connection.abort)
+        raise
 
 
 def close_idle(pool: ConnectionPool) -> None:
--- a/tests/memory_net.py
+++ b/tests/memory_net.py
@@ -31,6 +31,8 @@
     ----------
     is_reading
         Whether the protocol receives bytes and the close of the connection.
+    is_write_closed
+        Whether the protocol has ended sending.
     is_aborted
         Whether the protocol has aborted the connection, and receives nothing
         but its close. What it has written before is still delivered.
@@ -40,6 +42,7 @@
         super().__init__(protocol, is_server)
         self.is_reading = True
         self.is_aborted = False
+        self.is_write_closed = False
 
     def pauseProducing(self) -> None:
         """Stop reading."""
@@ -54,6 +57,10 @@
         self.is_aborted = True
         super().abortConnection()
 
+    def loseWriteConnection(self) -> None:
+        """End sending, but keep receiving."""
+        self.is_write_closed = True
+
     def take(self) -> bytes:
         """Remove and return the bytes that were written."""
         written = b''.join(self.stream)
@@ -302,7 +309,8 @@
         client.report_close()
         return True
     is_drained = not client.stream and not _is_in_transit(connection)
-    if client.disconnecting and _can_receive(server) and is_drained:
+    has_ended = client.disconnecting or client.is_write_closed
+    if has_ended and _can_receive(server) and is_drained:
         server.report_close()
         return True
     for end in (server, client):
