--- a/tests/test_callers_that_leave.py
+++ b/tests/test_callers_that_leave.py
@@ -90,6 +90,25 @@
     assert not arrivals(mesh.hosts[0], sent.request_id)
 
 
+def test_upload_is_not_run_if_its_sender_cannot_be_reached_any_more():
+    mesh = ready_mesh('web', 'api', 'api', slots=1, work_s=0.4)
+    port = mesh.hosts[0].address, INBOUND
+    mesh.net.limit(port, NARROW_BYTES_PER_S)
+    upload = send_uploads(mesh, 1)[0]
+    mesh.advance(0.03)
+    mesh.send(mesh.hosts[2])  # takes the slot while the body arrives
+    mesh.advance(0.2)
+    queue = mesh.hosts[0].sidecar.gate.queue
+    assert [entry.request_id for entry in queue.waiting.values()] == [
+        upload.request_id
+    ]
+    mesh.net.silence(port)
+    mesh.net.refusing_ports.add(port)
+    upload.pending.cancel()
+    mesh.advance(1.5)
+    assert not arrivals(mesh.hosts[0], upload.request_id)
+
+
 def test_run_that_lost_its_connection_ends_once_its_caller_has_left():
     mesh = ready_mesh('web', 'api', work_s=0.9)
     sent = mesh.send(mesh.hosts[1])
