--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -14,6 +14,7 @@
 from marjoramlead.bodies import BodyStream
 from marjoramlead.http_connection import HttpConnection, OutgoingRequest
 from marjoramlead.http_server import make_site
+from marjoramlead.mesh_state import is_leaving
 from marjoramlead.problems import json_response
 from marjoramlead.target_queue import set_cold_rate
 from marjoramlead.target_runs import PendingBody, serve_job
@@ -189,7 +190,8 @@
     serving = serve_job(gate, job, pending_body=pending_body)
     serving.addCallback(outcomes.append)
     mesh.publish(mesh.hosts[0], state='draining')
-    mesh.advance(1)
+    mesh.advance(0.3)
+    assert is_leaving(gate.mesh_state, gate.target_entry)
     end.callback(BODY)
     mesh.advance(0.5)
     assert outcomes == [Refusal(Reason.DRAINING, Verdict.NOT_RUN, 0)]
@@ -311,3 +313,46 @@
         mesh.advance(0.3)
         client.transport.write(b'x')
     assert not mesh.hosts[0].sidecar.gate.queue.receiving
+
+
+def test_small_body_that_is_slow_between_nodes_is_not_the_fault_of_the_client():
+    mesh = ready_mesh('web', 'api')
+    port = mesh.hosts[0].address, INBOUND
+    mesh.net.limit(port, 5000)  # the body takes 0.8 s
+    for connection in mesh.net.connections:
+        if connection.port == port:
+            connection.link = mesh.net.links[port]
+    sent = mesh.send(mesh.hosts[1], '/once/x', method=b'POST', body=b'x' * 4000)
+    mesh.advance(1.5)
+    assert sent.ended_at
+    assert sent.status != 400
+
+
+def test_run_ends_if_its_caller_leaves_after_the_connection_has_failed():
+    mesh = ready_mesh('web', 'api', work_s=0.9)
+    port = mesh.hosts[0].address, INBOUND
+    sent = mesh.send(mesh.hosts[1])
+    mesh.advance(0.1)
+    assert mesh.hosts[0].target.running == 1
+    failed = [each for each in mesh.net.connections if each.port == port]
+    mesh.net.silence(port)
+    for connection in failed:  # unheard by the node of the target
+        connection.client.report_close()
+    mesh.advance(0.1)  # the fate is being queried
+    sent.pending.cancel()
+    mesh.advance(0.4)
+    assert mesh.hosts[0].target.disconnected == [sent.request_id]
+
+
+def test_withdrawal_is_sent_again_if_it_meets_silence():
+    mesh = ready_mesh('web', 'api', work_s=0.9)
+    port = mesh.hosts[0].address, INBOUND
+    sent = mesh.send(mesh.hosts[1])
+    mesh.advance(0.05)
+    mesh.net.silence(port)
+    mesh.net.connect_delays[port] = 0.05
+    sent.pending.cancel()
+    mesh.advance(0.17)
+    mesh.net.silence(port)  # the first withdrawal, too
+    mesh.advance(0.5)
+    assert mesh.hosts[0].target.disconnected == [sent.request_id]
