Query and withdraw again after silence, and bar only what cannot have run

Found by the review of the design. A fate query or a withdrawal that met silence was awaited until the deadline; a caller that left after its connection had failed withdrew nothing; a job that was withdrawn kept its connection; and a query that travelled longer than a node took to restart was told that the attempt had never been seen, so a request ran twice. A query is limited to 0.55 s, a withdrawal to 0.25 s, and both are repeated; an attempt is barred only if it was sent a second after the node's start. A target that leaves is looked at again after the end of a body, and a body that is late between nodes is not the client's fault (400).

Failed before: test_request_is_not_run_again_after_a_fast_restart_of_its_node, test_fate_is_queried_again_*, test_withdrawal_is_sent_again_*, test_connection_of_a_withdrawn_job_is_closed, test_run_ends_if_its_caller_leaves_after_the_connection_has_failed, test_target_that_leaves_before_the_end_of_a_body_*, test_small_body_that_is_slow_*.

--- a/marjoramlead/hop_client.py
+++ b/marjoramlead/hop_client.py
@@ -61,7 +61,12 @@
 # Time after a cancellation until a node that has not closed the connection is
 # told over a new one. TCP repeats a lost packet after 200 ms only.
 WITHDRAW_DELAY_S: Final = 0.15
-# Interval between queries for the outcome of a request.
+# Longest time for which one query waits, as its connection may go silent, too. It
+# is shorter than ``peer_requests.MAX_QUERY_TRAVEL_S``.
+QUERY_TIMEOUT_S: Final = 0.55
+# The same for a withdrawal, which is answered at once.
+WITHDRAWAL_TIMEOUT_S: Final = 0.25
+# Time from one query for the outcome of a request to the next.
 FATE_QUERY_INTERVAL_S: Final = 0.25
 # The server closes idle connections between nodes after 75 s.
 IDLE_TIMEOUT_S: Final = 30.0
@@ -73,6 +78,11 @@
     (Reason.DRAINING, Reason.NOT_READY, Reason.WRONG_TARGET),
 )
 
+# Outcome of a job that its node has not told.
+UNKNOWN_OUTCOME: Final = Refusal(
+    Reason.SILENT, Verdict.MAY_HAVE_RUN, 0, reached_target=True
+)
+
 
 @dataclass(slots=True)
 class _HopProgress:
@@ -169,7 +179,7 @@
     Once cancelled, the job is withdrawn unless its node has heard the close.
     """
     try:
-        result = await _exchange(client, job, host, progress)
+        return await _send_and_resolve(client, job, host, progress)
     except CancelledError:
         if progress.connected_at is not None:
             client.reactor.callLater(
@@ -178,6 +188,12 @@
         raise
     finally:
         _cancel_timer(progress.silence_timer)
+
+
+async def _send_and_resolve(
+    client: HopClient, job: Job, host: str, progress: _HopProgress
+) -> Outcome:
+    result = await _exchange(client, job, host, progress)
     if isinstance(result, Reply):
         return _process_reply(client, job, result)
     if not result.may_have_arrived:
@@ -248,9 +264,7 @@
     await progress.silent
     _log_lost_hop(client, job, progress, Reason.SILENT)
     outcome = await _resolve_fate(client, job, host, progress.offered_at)
-    progress.is_settled = isinstance(outcome, Reply) or (
-        outcome.reason is not Reason.SILENT
-    )
+    progress.is_settled = outcome is not UNKNOWN_OUTCOME
     return outcome
 
 
@@ -272,6 +286,7 @@
 ) -> None:
     """Tell the target's node over a new connection to drop a job."""
     while client.reactor.seconds() < job.deadline:
+        next_at = client.reactor.seconds() + FATE_QUERY_INTERVAL_S
         known = await _query_fate(client, job, host, sent_at, is_withdrawn=True)
         emit(
             'withdrawn',
@@ -281,7 +296,7 @@
         )
         if known is not None:
             return
-        await _sleep(client.reactor, FATE_QUERY_INTERVAL_S)
+        await _sleep_until(client.reactor, next_at)
 
 
 def _log_lost_hop(
@@ -337,15 +352,12 @@
     Idempotent requests are queried at most twice, as they can be retried
     elsewhere; others until their deadline.
     """
-    outcome: Outcome = Refusal(
-        Reason.SILENT,
-        Verdict.MAY_HAVE_RUN,
-        0,
-        reached_target=True,
-    )
     is_first = True
     while client.reactor.seconds() < job.deadline:
+        next_at = client.reactor.seconds() + FATE_QUERY_INTERVAL_S
         known = await _query_fate(client, job, host, sent_at)
+        if known is UNKNOWN_OUTCOME:
+            continue
         if known is not None:
             return known
         record_unreachable_host(
@@ -353,10 +365,10 @@
             client.reactor.seconds(),
         )
         if job.retry_policy == 'idempotent' and not is_first:
-            return outcome
+            return UNKNOWN_OUTCOME
         is_first = False
-        await _sleep(client.reactor, FATE_QUERY_INTERVAL_S)
-    return outcome
+        await _sleep_until(client.reactor, next_at)
+    return UNKNOWN_OUTCOME
 
 
 async def _query_fate(
@@ -369,8 +381,8 @@
 ) -> Outcome | None:
     """Query the outcome once over a new connection.
 
-    Returns None if the node does not respond. A job that is withdrawn is not
-    started any more.
+    Returns None if the node does not respond, and ``UNKNOWN_OUTCOME`` if it has
+    only acknowledged the query. A job that is withdrawn does not start any more.
     """
     now = client.reactor.seconds()
     query = encode_fate_query(job, now - sent_at, is_withdrawn=is_withdrawn)
@@ -382,10 +394,21 @@
         client.connect,
         traffic_counter(client.metrics, 'fate'),
     )
-    wait = TimedWait(client.reactor, send(pool, outgoing))
-    wait.add_deadline(job.deadline + RESPONSE_GRACE_S)
+    progress = _HopProgress(now)
+
+    def on_acknowledged() -> None:
+        progress.acknowledged_at = client.reactor.seconds()
+
+    wait = TimedWait(
+        client.reactor,
+        send(pool, outgoing, on_acknowledged=on_acknowledged),
+    )
+    timeout_s = WITHDRAWAL_TIMEOUT_S if is_withdrawn else QUERY_TIMEOUT_S
+    wait.add_deadline(min(now + timeout_s, job.deadline + RESPONSE_GRACE_S))
     send_result = await wait.result()
     close_idle(pool)
+    if send_result is None and progress.acknowledged_at is not None:
+        return UNKNOWN_OUTCOME
     if send_result is None or send_result.is_error():
         return None
     return _process_reply(client, job, send_result.ok)
@@ -397,9 +420,10 @@
     return round((reached_at - progress.offered_at) * MS_PER_SECOND)
 
 
-def _sleep(reactor: Clock, seconds: float) -> Deferred[None]:
+def _sleep_until(reactor: Clock, wake_at: float) -> Deferred[None]:
     sleeping: Deferred[None] = Deferred(lambda _sleeping: timer.cancel())
-    timer = reactor.callLater(seconds, sleeping.callback, None)
+    left = max(0, wake_at - reactor.seconds())
+    timer = reactor.callLater(left, sleeping.callback, None)
     return sleeping
 
 
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -36,7 +36,7 @@
 from marjoramlead.ledger import Outcome, query_outcome
 from marjoramlead.problems import BufferedResponse
 from marjoramlead.replies import response_from_reply
-from marjoramlead.target_gate import TargetGate
+from marjoramlead.target_gate import TargetGate, not_run_refusal
 from marjoramlead.target_queue import load_report
 from marjoramlead.target_runs import (
     PendingBody,
@@ -49,8 +49,11 @@
 
 __all__ = ('handle_peer_request',)
 
-# Sent once the headers of a job are read, so that the sender knows that the
-# job has arrived.
+# Longest time that a fate query may travel; its sender gives it up then. By so
+# much an attempt may be older than the query says.
+MAX_QUERY_TRAVEL_S: Final = 1.0
+# Sent once the headers of a job or a query are read, so that the sender knows
+# that it has arrived.
 ACKNOWLEDGEMENT: Final = b'HTTP/1.1 102 Processing\r\n\r\n'
 
 
@@ -63,6 +66,7 @@
     if raw:
         _handle_job(gate, req, raw[0])
     elif path == FATE_PATH:
+        req.channel.transport.write(ACKNOWLEDGEMENT)
         _respond_when_done(gate, req, '', _answer_fate_query(gate, req))
     elif path == FEED_PATH:
         answer_feed_read(feed_server, req)
@@ -125,7 +129,9 @@
     if not isinstance(req.body, BodyStream):
         return b''
     collected = await collect_body(req.body)
-    return collected if isinstance(collected, Refusal) else collected.content
+    if isinstance(collected, Refusal):
+        return not_run_refusal(Reason.CALLER_GONE)
+    return collected.content
 
 
 def _build_job(
@@ -174,7 +180,7 @@
         return Refusal(Reason.BAD_ANSWER, Verdict.MAY_HAVE_RUN, 0)
     now = gate.reactor.seconds()
     fate_query = decoded_query.ok
-    sent_at = now - fate_query['sent_ago_s']
+    sent_at = now - fate_query['sent_ago_s'] - MAX_QUERY_TRAVEL_S
     attempt = attempt_id(fate_query['request_id'], fate_query['attempt'])
     if fate_query.get('is_withdrawn', False):
         return withdraw_attempt(gate, attempt, sent_at)
@@ -212,7 +218,8 @@
     route: str,
     failure: Failure,
 ) -> None:
-    if failure.check(CancelledError):  # the sender has disconnected
+    if failure.check(CancelledError):  # the sender has left
+        req.abort()
         return
     emit('bug', error=failure.getTraceback())
     refusal = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, 0)
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -22,6 +22,7 @@
     apply_notice,
     not_run_refusal,
     receive_body,
+    refuse_if_unavailable,
     release_slot,
 )
 from marjoramlead.target_probe import probe_target, suspect_restart
@@ -181,9 +182,9 @@
         else:
             outcome = await _run_in_slot(gate, job, number, ready, started_at)
     except CancelledError:
-        if attempt_id(job.request_id, job.attempt) in gate.sent_attempts:
-            raise
-        outcome = not_run_refusal(Reason.CALLER_GONE)
+        if attempt_id(job.request_id, job.attempt) not in gate.sent_attempts:
+            outcome = not_run_refusal(Reason.CALLER_GONE)
+        raise
     finally:
         _complete(gate, job, outcome, started_at)
     return outcome
@@ -262,9 +263,12 @@
     )
     body = await reading.result()
     if body is None:
-        return not_run_refusal(Reason.BODY_CUT)
+        return not_run_refusal(Reason.CALLER_GONE)
     if isinstance(body, Refusal):
         return body
+    refusal = refuse_if_unavailable(gate, job.target_id)
+    if refusal is not None:
+        return refusal
     now = gate.reactor.seconds()
     if now >= job.deadline:
         return not_run_refusal(Reason.DEADLINE)
