--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -248,7 +248,9 @@
             gate, entry, pending_bytes, gate.reactor.seconds()
         )
         if refusal is not None:
-            release_slot(gate, number)
+            begin_receiving(gate.queue, number, gate.reactor.seconds())
+            gate.queue.receiving.pop(number)
+            start_waiting_requests(gate, gate.reactor.seconds())
     return refusal
 
 
