Bound the wait for a client's body, and end connections that nobody uses

A client that stopped in the middle of a body got no answer by the timeout of its route; one that was refused and sent no more kept its connection for ever; a body that was cut before it was read never ended. Failed before: test_client_whose_body_stalls_*, test_refused_client_that_sends_no_more_*, test_body_that_was_cut_before_it_is_read_fails. The rate of the link follows changed settings.

--- a/marjoramlead/bodies.py
+++ b/marjoramlead/bodies.py
@@ -69,12 +69,15 @@
         self._finished: Deferred[None] = Deferred()
         self._is_complete = False
         self._is_paused = False
+        self._is_lost = False
 
     def startProducing(self, consumer: Consumer) -> Deferred[None]:
         """Start writing; the result fires after the last chunk."""
         self.is_started = True
         self._consumer = consumer
         self.resumeProducing()
+        if self._is_lost:
+            self._finish(Failure(ConnectionAborted()))
         return self._finished
 
     def pauseProducing(self) -> None:
@@ -123,6 +126,7 @@
     def connection_lost(self) -> None:
         """Fail the body unless it is complete, as the caller disconnected."""
         if not self._is_complete:
+            self._is_lost = True
             self._finish(Failure(ConnectionAborted()))
 
     def _write_to_consumer(self, chunk: bytes) -> None:
--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -14,6 +14,7 @@
 
 from marjoramlead.bodies import BodyStream
 from marjoramlead.body_reader import collect_body
+from marjoramlead.deadlines import TimedWait
 from marjoramlead.dispatch import Dispatcher, Request, dispatch
 from marjoramlead.events import emit
 from marjoramlead.header_names import HeaderNames
@@ -163,7 +164,11 @@
     refusal = _resolve_route(frontend, req, context)
     if refusal is not None:
         return refusal
-    body = await _read_body(frontend, req)
+    reading = TimedWait(frontend.dispatcher.reactor, _read_body(frontend, req))
+    reading.add_deadline(context.deadline)
+    body = await reading.result()
+    if body is None:
+        return Refusal(Reason.DEADLINE, Verdict.NOT_RUN, 0)
     if isinstance(body, Refusal):
         return body
     frontend.buffered_bytes += len(body)
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -171,6 +171,7 @@
         elif self.requestHeaders.getRawHeaders(EXPECT_HEADER):
             self.channel.loseConnection()
         else:
+            self.channel.setTimeout(self.channel.site.limits().idle_s)
             self.channel.transport.resumeProducing()
 
     def send_response_and_close(self, response: BufferedResponse) -> None:
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -251,6 +251,7 @@
             sidecar.gate.pool.connect,
         )
     sidecar.dispatcher.budget.config = config.budget
+    sidecar.gate.body_grants.link_bytes_per_s = config.link_bytes_per_s
     apply_mesh_changes(sidecar)
 
 
