--- a/marjoramlead/hop_client.py
+++ b/marjoramlead/hop_client.py
@@ -61,8 +61,8 @@
 # Time after a cancellation until a node that has not closed the connection is
 # told over a new one. TCP repeats a lost packet after 200 ms only.
 WITHDRAW_DELAY_S: Final = 0.15
-# Longest time for which one query waits, as its connection may go silent, too. It
-# is shorter than ``peer_requests.MAX_QUERY_TRAVEL_S``.
+# Longest time for which one query waits, as its connection may go silent, too.
+# It is shorter than ``peer_requests.MAX_QUERY_TRAVEL_S``.
 QUERY_TIMEOUT_S: Final = 0.55
 # The same for a withdrawal, which is answered at once.
 WITHDRAWAL_TIMEOUT_S: Final = 0.25
@@ -381,8 +381,8 @@
 ) -> Outcome | None:
     """Query the outcome once over a new connection.
 
-    Returns None if the node does not respond, and ``UNKNOWN_OUTCOME`` if it has
-    only acknowledged the query. A job that is withdrawn does not start any more.
+    Returns None if the node does not respond, and ``UNKNOWN_OUTCOME`` if it
+    has only acknowledged the query. A withdrawn job does not start any more.
     """
     now = client.reactor.seconds()
     query = encode_fate_query(job, now - sent_at, is_withdrawn=is_withdrawn)
