Grant a body by the sender's link, too, instead of 16 KB at a time

An upload of 360 KB took 22 round trips, also between hosts on links of 1,000 Mbit/s. A job now says how much its sender's link carries in 50 ms. A node that does not say so gets 16 KB, as before. The tests with narrow links tell the nodes their rate, as the settings do.

test_body_of_a_sender_with_a_wide_link_is_granted_at_once failed before.

--- a/marjoramlead/body_grants.py
+++ b/marjoramlead/body_grants.py
@@ -17,10 +17,12 @@
 
 __all__ = (
     'FINAL_PART_BYTES',
+    'MIN_WINDOW_BYTES',
     'BodyGrants',
     'add_body',
     'arrival_time',
     'grant_bytes',
+    'link_window',
     'record_received',
     'record_stall',
     'remove_body',
@@ -28,9 +30,8 @@
 
 # Longest time for which granted bytes may keep the link busy.
 MAX_BACKLOG_S: Final = 0.05
-# Bytes of one body that may be on their way. A sender's link is not known here,
-# so this bounds what is queued on it; a round trip takes a few milliseconds.
-MAX_GRANT_BYTES: Final = 16_384
+# Smallest window of a link, and that of a sender that does not name its own.
+MIN_WINDOW_BYTES: Final = 16_384
 # Smaller grants wait until more of the window is free.
 MIN_GRANT_BYTES: Final = 4_096
 FINAL_PART_BYTES: Final = 1_024
@@ -42,6 +43,7 @@
 @dataclass(slots=True)
 class _Body:
     length: int
+    window: int
     on_granted: OnGranted
     granted: int = 0
     received: int = 0
@@ -64,8 +66,17 @@
     bodies: dict[int, _Body] = field(default_factory=dict)
 
 
+def link_window(bytes_per_s: float) -> int:
+    """Return how many bytes may be on their way over a link at a time."""
+    return max(MIN_WINDOW_BYTES, int(bytes_per_s * MAX_BACKLOG_S))
+
+
 def add_body(
-    grants: BodyGrants, number: int, length: int, on_granted: OnGranted
+    grants: BodyGrants,
+    number: int,
+    length: int,
+    window: int,
+    on_granted: OnGranted,
 ) -> None:
     """Add a body of which nothing has been granted.
 
@@ -77,10 +88,12 @@
         Unique number of the body.
     length
         Bytes to grant, without the final part.
+    window
+        Bytes of the body that may be on their way, for the sender's link.
     on_granted
         Called whenever more of the body may be sent.
     """
-    grants.bodies[number] = _Body(length, on_granted)
+    grants.bodies[number] = _Body(length, window, on_granted)
 
 
 def remove_body(grants: BodyGrants, number: int) -> None:
@@ -108,7 +121,7 @@
     """Grant as many bytes as the link carries soon, the oldest body first."""
     for body in list(grants.bodies.values()):
         missing = body.length - body.granted
-        own_window = body.received + MAX_GRANT_BYTES - body.granted
+        own_window = body.received + body.window - body.granted
         allowed = min(missing, own_window, _free_bytes(grants))
         if missing and allowed >= min(missing, MIN_GRANT_BYTES):
             body.granted += allowed
@@ -122,10 +135,9 @@
 
 
 def _free_bytes(grants: BodyGrants) -> int:
-    window = max(MAX_GRANT_BYTES, int(grants.link_bytes_per_s * MAX_BACKLOG_S))
     on_the_way = sum(
         body.granted - body.received
         for body in grants.bodies.values()
         if not body.is_stalled
     )
-    return window - on_the_way
+    return link_window(grants.link_bytes_per_s) - on_the_way
--- a/marjoramlead/hop_client.py
+++ b/marjoramlead/hop_client.py
@@ -14,6 +14,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
+from marjoramlead.body_grants import link_window
 from marjoramlead.clock import Clock, Timer
 from marjoramlead.deadlines import TimedWait
 from marjoramlead.events import emit
@@ -121,6 +122,8 @@
         Port on which every node accepts requests of other nodes.
     on_revision
         Called with the store revision that another node reports.
+    link_bytes_per_s
+        Returns the rate of this host's link.
     pools
         Connection pools by host.
     """
@@ -130,6 +133,7 @@
     port: int
     on_revision: Callable[[int], None]
     metrics: Metrics
+    link_bytes_per_s: Callable[[], float]
     connect: Connect = connect_tcp
     pools: dict[str, ConnectionPool] = field(default_factory=dict)
 
@@ -214,7 +218,8 @@
 ) -> Reply | ConnectionFailure:
     """Send a job and wait for the reply, at most until its deadline."""
     now = client.reactor.seconds()
-    headers = [*job.headers, (JOB_HEADER, encode_job(job, now))]
+    terms = encode_job(job, now, link_window(client.link_bytes_per_s()))
+    headers = [*job.headers, (JOB_HEADER, terms)]
     outgoing = OutgoingRequest(
         job.method,
         job.uri,
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -102,11 +102,12 @@
     body: bytes
 
 
-def encode_job(job: Job, now: float) -> bytes:
+def encode_job(job: Job, now: float, body_window: int) -> bytes:
     """Encode the terms of a job.
 
     Its deadlines are sent as milliseconds from now, because the clocks of two
-    nodes cannot be compared.
+    nodes cannot be compared. ``body_window`` is the number of bytes that this
+    host's link carries soon.
     """
     terms: JobTerms = {
         'request_id': job.request_id,
@@ -123,6 +124,8 @@
         'is_nested': job.is_nested,
         'has_reservation': job.has_reservation,
     }
+    if job.body:
+        terms['body_window'] = body_window
     if job.rate_limit_per_s is not None:
         terms['rate_limit_per_s'] = job.rate_limit_per_s
     return msgspec.json.encode(terms)
--- a/marjoramlead/incoming_body.py
+++ b/marjoramlead/incoming_body.py
@@ -43,10 +43,12 @@
         req: StreamRequest,
         stream: BodyStream,
         length: int,
+        window: int,
         grants: BodyGrants,
         reactor: Clock,
     ) -> None:
         self.length = length
+        self._window = window
         self._req = req
         self._grants = grants
         self._reactor = reactor
@@ -80,7 +82,9 @@
             self._req.send_continue(end)
             self._watch_sender()
 
-        add_body(self._grants, self._number, self._goal, on_granted)
+        add_body(
+            self._grants, self._number, self._goal, self._window, on_granted
+        )
         try:
             grant_bytes(self._grants)
             return await self._receive()
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -14,6 +14,7 @@
 from twisted.web.http_headers import Headers
 
 from marjoramlead.bodies import BodyStream
+from marjoramlead.body_grants import MIN_WINDOW_BYTES
 from marjoramlead.body_reader import collect_body
 from marjoramlead.events import emit
 from marjoramlead.feed_server import FeedServer, answer_feed_read
@@ -111,17 +112,22 @@
     job = _build_job(req, terms, gate.reactor.seconds())
     req.notifyFinish().addErrback(lambda _gone: abandon_job(gate, job))
     return await serve_job(
-        gate, job, lambda: _read_body(req), _pending_body(gate, req)
+        gate, job, lambda: _read_body(req), _pending_body(gate, req, terms)
     )
 
 
-def _pending_body(gate: TargetGate, req: StreamRequest) -> PendingBody | None:
+def _pending_body(
+    gate: TargetGate, req: StreamRequest, terms: JobTerms
+) -> PendingBody | None:
     """Return the body if its sender waits to be told to send it."""
     stream = req.body
     if not (expects_continue(req) and isinstance(stream, BodyStream)):
         return None
     length = stream.length if isinstance(stream.length, int) else 0
-    body = IncomingBody(req, stream, length, gate.body_grants, gate.reactor)
+    window = max(MIN_WINDOW_BYTES, terms.get('body_window', 0))
+    body = IncomingBody(
+        req, stream, length, window, gate.body_grants, gate.reactor
+    )
     return PendingBody(length, body.receive_ahead, body.receive_end)
 
 
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -155,6 +155,7 @@
             config.inbound[1],
             lambda revision: note_reported_revision(store_watcher, revision),
             metrics,
+            lambda: sidecar.config.link_bytes_per_s,
             connect,
         ),
         balancer,
