Answer a client that is still there if its request is cancelled inside the node

A request that was cancelled by anything but its client's leaving was counted as left and never answered; its connection closed when the node stopped.

--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -404,7 +404,7 @@
     context: _RequestContext,
     failure: Failure,
 ) -> None:
-    if failure.check(CancelledError):
+    if failure.check(CancelledError) and req.is_disconnected:
         frontend.in_flight -= 1
         _record_outcome(frontend, context, 'left', Reason.CALLER_GONE.value)
         return
--- a/tests/test_wasted_work.py
+++ b/tests/test_wasted_work.py
@@ -197,6 +197,16 @@
     assert not any(host.sidecar.gate.queue.waiting for host in mesh.hosts)
 
 
+def test_client_that_waits_is_answered_if_its_run_is_cancelled():
+    mesh = ready_mesh('web', work_s=0.5)
+    sent = mesh.send(mesh.hosts[0])
+    mesh.advance(0.1)
+    for task in list(mesh.hosts[0].sidecar.gate.tasks.values()):
+        task.cancel()
+    mesh.advance(0.1)
+    assert sent.status == 502
+
+
 def test_body_of_a_refused_offer_does_not_cross_the_network():
     size = max(BODY_SIZES)
     mesh = ready_mesh('web', 'api', slots=1, work_s=2)
