Confirm the mesh state as of when an answer was made, not when it arrived

A node that got an answer of the store or of its parent late counted its data as current at the arrival. Callers were then refused with 404 on routes that had been added more than ConfigApply ago, and nodes that follow it took its age for smaller than it was.

An answer shows the state at the time it was made. That is no earlier than the call was sent, plus the time for which the other side held it: the whole wait of a watch without events, and the new optional `held_s` of a feed document. Without `held_s`, as from older nodes, the time of sending counts. An answer with a revision below the known one confirms nothing.

--- a/marjoramlead/feed_client.py
+++ b/marjoramlead/feed_client.py
@@ -95,12 +95,24 @@
 
 
 def apply_feed(
-    mesh_state: MeshState, document: FeedDocument, now: float
+    mesh_state: MeshState, document: FeedDocument, sent_at: float, now: float
 ) -> list[Record]:
     """Apply the records that another node has sent.
 
     The state counts as confirmed only if the other node knows at least as
-    much and its texts could be rebuilt.
+    much and its texts could be rebuilt. It was current when the answer was
+    made, which is no earlier than the query was sent and held.
+
+    Parameters
+    ----------
+    mesh_state
+        State to change.
+    document
+        Answer of the other node.
+    sent_at
+        When the query was sent, on the node's monotonic clock.
+    now
+        Current time on the same clock.
 
     Returns
     -------
@@ -112,7 +124,8 @@
         return []
     revision = document['revision']
     if revision >= mesh_state.revision:
-        confirm_revision(mesh_state, revision, now - document['age_s'], now)
+        made_at = min(sent_at + document.get('held_s', 0), now)
+        confirm_revision(mesh_state, revision, made_at - document['age_s'], now)
     changed = apply_records(mesh_state, decoded.ok, now)
     for listing in document.get('listings', []):
         keys, prefix = listing['keys'], listing['prefix']
--- a/marjoramlead/feed_server.py
+++ b/marjoramlead/feed_server.py
@@ -29,6 +29,7 @@
     """A long poll without an answer, and the timer that ends it."""
 
     query: FeedQuery
+    received_at: float
     timer: Timer
 
 
@@ -66,7 +67,8 @@
         _send_feed(server, req, query)
         return
     timer = server.reactor.callLater(query.wait_s, _end_wait, server, req)
-    server.pending[req] = _PendingRead(query, timer)
+    now = server.reactor.seconds()
+    server.pending[req] = _PendingRead(query, now, timer)
     req.notifyFinish().addErrback(lambda _gone: _remove_pending(server, req))
 
 
@@ -85,7 +87,8 @@
 def _end_wait(server: FeedServer, req: StreamRequest) -> None:
     pending = _remove_pending(server, req)
     if pending is not None:
-        _send_feed(server, req, pending.query)
+        held_s = server.reactor.seconds() - pending.received_at
+        _send_feed(server, req, pending.query, held_s)
 
 
 def _remove_pending(
@@ -98,12 +101,15 @@
 
 
 def _send_feed(
-    server: FeedServer, req: StreamRequest, query: FeedQuery
+    server: FeedServer,
+    req: StreamRequest,
+    query: FeedQuery,
+    held_s: float = 0,
 ) -> None:
     if server.is_draining:
         status, document = HTTPStatus.SERVICE_UNAVAILABLE, b''
     else:
         status = HTTPStatus.OK
         now = server.reactor.seconds()
-        document = encode_feed(server.mesh_state, query, now)
+        document = encode_feed(server.mesh_state, query, now, held_s)
     req.send_response(BufferedResponse(status, Headers(), document))
--- a/marjoramlead/feeds.py
+++ b/marjoramlead/feeds.py
@@ -103,11 +103,17 @@
         return Error(Fault('feed query', str(exc)))
 
 
-def encode_feed(mesh_state: MeshState, query: FeedQuery, now: float) -> bytes:
-    """Encode the records that changed after the revision in a query."""
+def encode_feed(
+    mesh_state: MeshState, query: FeedQuery, now: float, held_s: float = 0
+) -> bytes:
+    """Encode the records that changed after the revision in a query.
+
+    ``held_s`` is the time between the arrival of the query and this answer.
+    """
     document: FeedDocument = {
         'revision': mesh_state.revision,
         'age_s': min(now - mesh_state.confirmed_at, MAX_AGE_S),
+        'held_s': held_s,
         'listings': _encode_listings(mesh_state.records, query.after),
         'records': [
             _encode_record(mesh_state.records, record, query.bases)
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -202,7 +202,8 @@
     """Record that all changes up to a revision are known.
 
     Call this before the changes are applied, because deletions are treated
-    differently after an outage.
+    differently after an outage. A revision below the known one confirms
+    nothing: it was the newest before the known one.
 
     Parameters
     ----------
@@ -219,8 +220,9 @@
     gap = confirmed_at - mesh_state.confirmed_at
     if isfinite(gap) and gap > MIN_OUTAGE_S:
         mesh_state.reconnected_at = now
-    mesh_state.revision = max(mesh_state.revision, revision)
-    mesh_state.confirmed_at = max(mesh_state.confirmed_at, confirmed_at)
+    if revision >= mesh_state.revision:
+        mesh_state.revision = revision
+        mesh_state.confirmed_at = max(mesh_state.confirmed_at, confirmed_at)
 
 
 def expire_held_targets(mesh_state: MeshState, now: float) -> list[str]:
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -117,16 +117,20 @@
     async def _watch(
         self, prefix: str, after: int, wait_ms: int
     ) -> Result[StoreUpdate, Fault]:
+        """Wait for changes; without any, the store has held the whole wait."""
+        wait_s = wait_ms / MS_PER_SECOND
         query = {
             'PathPrefix': prefix,
             'after': str(after),
             'WaitMs': str(wait_ms),
         }
-        response = await self._get('kv-watch', query, wait_ms / MS_PER_SECOND)
+        response = await self._get('kv-watch', query, wait_s)
         if response.is_error():
             return Error(response.error)
         records = _decode_records(response.ok['events'])
-        return Ok(StoreUpdate(records, response.ok['CurrentRev']))
+        held_s = 0 if records else wait_s
+        revision = response.ok['CurrentRev']
+        return Ok(StoreUpdate(records, revision, held_s=held_s))
 
     async def _get(
         self,
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -86,11 +86,15 @@
     listed_prefix
         If set, the records include all whose keys begin with this prefix, and
         others of the same prefix no longer exist.
+    held_s
+        Seconds for which the store has held the call before its answer; 0 if
+        that is not known.
     """
 
     records: list[Record]
     revision: int
     listed_prefix: str | None = None
+    held_s: float = 0
 
 
 class Store(Protocol):
@@ -241,7 +245,7 @@
     query = make_feed_query(watcher.mesh_state, LONG_POLL_S)
     result = await read_feed(watcher.feed_client, parent, query)
     if result.is_ok():
-        _apply_document(watcher, result.ok, parent[0])
+        _apply_document(watcher, result.ok, parent[0], started_at)
     now = watcher.reactor.seconds()
     age = now - watcher.mesh_state.confirmed_at
     if result.is_error() or age > MAX_FEED_AGE_S:
@@ -262,13 +266,14 @@
 
 async def _read_store(watcher: StoreWatcher, wait_s: float) -> None:
     """Read the store once, and wait until it may be read again."""
+    sent_at = watcher.reactor.seconds()
     result = await _fetch_changes(watcher, wait_s)
     if result.is_error():
         await _on_fault(watcher, result.error)
         return
     _note_origin(watcher, 'store')
     old_table = watcher.mesh_state.table
-    _apply_update(watcher, result.ok)
+    _apply_update(watcher, result.ok, sent_at)
     watcher.is_routing_changing = watcher.mesh_state.table is not old_table
     if watcher.is_routing_changing:
         await _sleep(watcher.reactor, ROUTING_DEBOUNCE_S)
@@ -291,12 +296,15 @@
     return await watcher.store.watch(watcher.after, wait_s)
 
 
-def _apply_update(watcher: StoreWatcher, update: StoreUpdate) -> None:
+def _apply_update(
+    watcher: StoreWatcher, update: StoreUpdate, sent_at: float
+) -> None:
     now = watcher.reactor.seconds()
     if watcher.failures:
         emit('store_regained', failures=watcher.failures)
     watcher.failures = 0
-    confirm_revision(watcher.mesh_state, update.revision, now, now)
+    made_at = min(sent_at + update.held_s, now)
+    confirm_revision(watcher.mesh_state, update.revision, made_at, now)
     changed = apply_records(watcher.mesh_state, update.records, now)
     if update.listed_prefix is not None:
         keys = [record.key for record in update.records]
@@ -358,18 +366,19 @@
         return
     address = watcher.rng.choice(peer_addresses)
     query = make_feed_query(watcher.mesh_state, 0)
+    sent_at = watcher.reactor.seconds()
     result = await read_feed(watcher.feed_client, address, query)
     if result.is_ok():
-        _apply_document(watcher, result.ok, address[0])
+        _apply_document(watcher, result.ok, address[0], sent_at)
     else:
         emit('peer_lost', peer=address[0], reason=result.error.reason)
 
 
 def _apply_document(
-    watcher: StoreWatcher, document: FeedDocument, origin: str
+    watcher: StoreWatcher, document: FeedDocument, origin: str, sent_at: float
 ) -> None:
     now = watcher.reactor.seconds()
-    changed = apply_feed(watcher.mesh_state, document, now)
+    changed = apply_feed(watcher.mesh_state, document, sent_at, now)
     if watcher.after:
         watcher.after = max(watcher.after, watcher.mesh_state.revision)
     _log_and_notify(watcher, changed, origin)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -216,7 +216,7 @@
 def send_feed(sender, receiver):
     """Pass on the sender's records once."""
     raw = encode_feed(sender, make_feed_query(receiver, 0), 0)
-    apply_feed(receiver, decode_feed(raw).ok, 0)
+    apply_feed(receiver, decode_feed(raw).ok, 0, 0)
     return len(raw)
 
 
@@ -271,7 +271,7 @@
     document = decode_feed(
         encode_feed(sender, make_feed_query(receiver, 0), 5)
     ).ok
-    apply_feed(receiver, document, 5)
+    apply_feed(receiver, document, 5, 5)
     assert (receiver.revision, receiver.confirmed_at) == (9, 0)
 
 
