Refuse a job that only an older routing table sends to the target

A job now carries that version and the age of the request (`version`, `age_ms`, both optional; a job of an older node has none and is served as before). The target's node refuses it as not run, with `route_changed`, if a newer table does not lead to its target's service and the request was received too late: OLD_TABLE_GRACE_S after the node had received the first newer version, or CHANGE_BOUND_S after the node last knew that there was no change. It checks on arrival, after a body has arrived, and when the request gets a slot. A version that leaves the route as it was counts as the job's version from then on, so that a request is not refused for a change made while it waits. It learns from the revision in the report that it is behind, as before.

--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -39,7 +39,7 @@
     RoundRobinState,
     Route,
     choose_service,
-    find_route,
+    find_request_route,
 )
 from marjoramlead.target_gate import is_running
 from marjoramlead.target_queue import retry_share
@@ -173,7 +173,7 @@
         return body
     frontend.buffered_bytes += len(body)
     try:
-        return await _dispatch(frontend, req, context, body)
+        return await _dispatch_by_current_table(frontend, req, context, body)
     finally:
         frontend.buffered_bytes -= len(body)
 
@@ -187,9 +187,7 @@
     if mesh_state.table is None:
         return Refusal(Reason.NOT_READY, Verdict.NOT_RUN)
     context.version = mesh_state.table.version
-    host = _header(req, b'host').partition(':')[0]
-    path = req.uri.decode('latin-1').partition('?')[0]
-    route = find_route(mesh_state.table, host, path)
+    route = find_request_route(mesh_state.table, _header(req, b'host'), req.uri)
     if route is None:
         return _refuse_unknown_route(mesh_state, context.received_at)
     context.route = route
@@ -263,6 +261,32 @@
     return collected if isinstance(collected, Refusal) else collected.content
 
 
+async def _dispatch_by_current_table(
+    frontend: ClientFrontend,
+    req: StreamRequest,
+    context: _RequestContext,
+    body: bytes,
+) -> Outcome:
+    """Dispatch a request; once more if a newer table has arrived meanwhile.
+
+    That holds only for a request that was refused because of its old route.
+    """
+    outcome = await _dispatch(frontend, req, context, body)
+    table = frontend.dispatcher.mesh_state.table
+    is_rerouted = (
+        isinstance(outcome, Refusal)
+        and outcome.reason is Reason.ROUTE_CHANGED
+        and table is not None
+        and table.version > context.version
+    )
+    if not is_rerouted:
+        return outcome
+    refusal = _resolve_route(frontend, req, context)
+    if refusal is not None:
+        return refusal
+    return await _dispatch(frontend, req, context, body)
+
+
 async def _dispatch(
     frontend: ClientFrontend,
     req: StreamRequest,
@@ -291,6 +315,8 @@
         body=body,
         is_nested=context.origin is Origin.RUNNING_REQUEST,
         has_reservation=context.has_reservation,
+        received_at=context.received_at,
+        version=context.version,
     )
     return await dispatch(dispatcher, request)
 
--- a/marjoramlead/dispatch.py
+++ b/marjoramlead/dispatch.py
@@ -55,7 +55,7 @@
 from marjoramlead.target_queue import load_report
 from marjoramlead.target_runs import abandon_job, serve_job
 from marjoramlead.upstream import HeaderList, Reply
-from marjoramlead.verdict import Refusal, Verdict
+from marjoramlead.verdict import Reason, Refusal, Verdict
 
 __all__ = ('Dispatcher', 'Request', 'dispatch')
 
@@ -85,6 +85,10 @@
         answer.
     has_reservation
         Whether the client was refused before and told to return by now.
+    received_at
+        When the request was received from the client.
+    version
+        Version of the routing table that chose the route and the service.
     """
 
     request_id: str
@@ -98,6 +102,8 @@
     body: bytes
     is_nested: bool = False
     has_reservation: bool = False
+    received_at: float = 0
+    version: int | None = None
 
 
 @dataclass(slots=True)
@@ -256,6 +262,8 @@
         uri=request.uri,
         headers=request.headers,
         body=request.body,
+        received_at=request.received_at,
+        version=request.version,
     )
 
 
@@ -306,6 +314,8 @@
         has_failed = outcome.status >= SERVER_ERROR
         return not has_failed or not _may_retry(dispatcher, request, offers)
     record_refused_offer(offers, target.target_id, outcome)
+    if outcome.reason is Reason.ROUTE_CHANGED:
+        return True
     if outcome.verdict is not Verdict.NOT_RUN:
         return not _may_retry(dispatcher, request, offers)
     return outcome.reached_target and not _try_spend_retry(dispatcher, request)
--- a/marjoramlead/explanations.py
+++ b/marjoramlead/explanations.py
@@ -101,6 +101,12 @@
         'responses.',
         'Check the target, or add targets.',
     ),
+    Reason.ROUTE_CHANGED: (
+        'The sender chose the target by an old routing table. In that of the '
+        "target's node, the route is gone or leads to other services.",
+        'No action is needed if the version has just changed; otherwise check '
+        'the connection of the sender to the store and to other nodes.',
+    ),
     Reason.SILENT: (
         'No response arrived within the wait limit.',
         'Check the target: it may be hung or unreachable.',
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -80,6 +80,12 @@
         this node's clock.
     deadline
         Time at which the request ends, on this node's clock.
+    received_at
+        When the sender received the request from its client, on this node's
+        clock.
+    version
+        Version of the routing table by which the sender chose the service of
+        the target, or None if the sender does not say.
     """
 
     request_id: str
@@ -100,13 +106,15 @@
     uri: bytes
     headers: HeaderList
     body: bytes
+    received_at: float = 0
+    version: int | None = None
 
 
 def encode_job(job: Job, now: float) -> bytes:
     """Encode the terms of a job.
 
-    Its deadlines are sent as milliseconds from now, because the clocks of two
-    nodes cannot be compared.
+    Its times are sent as milliseconds from or before now, because the clocks of
+    two nodes cannot be compared.
     """
     terms: JobTerms = {
         'request_id': job.request_id,
@@ -125,6 +133,9 @@
     }
     if job.rate_limit_per_s is not None:
         terms['rate_limit_per_s'] = job.rate_limit_per_s
+    if job.version is not None:
+        terms['version'] = job.version
+        terms['age_ms'] = (now - job.received_at) * MS_PER_SECOND
     return msgspec.json.encode(terms)
 
 
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -6,6 +6,7 @@
 record never replaces a newer one.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
@@ -35,6 +36,7 @@
     'is_usable',
     'note_leaving',
     'remove_unlisted',
+    'routing_deadline',
 )
 
 # Targets whose entries expired during an outage of the store register again
@@ -43,6 +45,26 @@
 # A gap between confirmations that counts as an outage. Entries of live targets
 # expire after three seconds or more without the store.
 MIN_OUTAGE_S: Final = 2.0
+# Time for which other nodes may route by a table that this node has replaced.
+# It covers the debounce interval of a node that reads the store.
+OLD_TABLE_GRACE_S: Final = 0.5
+# Bound on the time from a change in the store until no node may route by the
+# table that it replaces.
+CHANGE_BOUND_S: Final = 2.0
+MAX_KNOWN_VERSIONS: Final = 64
+
+
+class VersionReceipt(NamedTuple):
+    """A version of the routing table that this node has received.
+
+    Attributes
+    ----------
+    older_until
+        Requests received later must not be routed by an older version.
+    """
+
+    version: int
+    older_until: float
 
 
 class TargetEntry(NamedTuple):
@@ -95,6 +117,8 @@
         Decodes a record; returns None for one that can't be used.
     table_received_at
         When the current routing table arrived.
+    received_versions
+        The latest versions of the routing table, the oldest first.
     targets
         Target entries by record key.
     excluded
@@ -105,6 +129,9 @@
         Highest revision that another node has reported.
     confirmed_at
         When ``revision`` was last known to be the newest.
+    unchanged_until
+        When the revision known before ``revision`` was last known to be the
+        newest.
     reconnected_at
         When contact with the store, or with a node that reaches it, was last
         restored after an outage.
@@ -123,12 +150,16 @@
     decode: RecordDecoder
     table: RoutingTable | None = None
     table_received_at: float = 0
+    received_versions: deque[VersionReceipt] = field(
+        default_factory=partial(deque, maxlen=MAX_KNOWN_VERSIONS)
+    )
     targets: dict[str, TargetEntry] = field(default_factory=dict)
     excluded: dict[str, str] = field(default_factory=dict)
     records: RecordLog = field(default_factory=RecordLog)
     revision: int = 0
     reported_revision: int = 0
     confirmed_at: float = float('-inf')
+    unchanged_until: float = float('-inf')
     reconnected_at: float = float('-inf')
     held_until: dict[str, float] = field(default_factory=dict)
     superseded: set[str] = field(default_factory=set)
@@ -220,11 +251,29 @@
     gap = confirmed_at - mesh_state.confirmed_at
     if isfinite(gap) and gap > MIN_OUTAGE_S:
         mesh_state.reconnected_at = now
+    if revision > mesh_state.revision:
+        mesh_state.unchanged_until = mesh_state.confirmed_at
     if revision >= mesh_state.revision:
         mesh_state.revision = revision
         mesh_state.confirmed_at = max(mesh_state.confirmed_at, confirmed_at)
 
 
+def routing_deadline(mesh_state: MeshState, version: int) -> float:
+    """Return until when requests may be received that a version routes.
+
+    It is infinite for the newest version that this node knows. The deadline
+    of a version allows for nodes that learn of its successor later.
+    """
+    return next(
+        (
+            each.older_until
+            for each in mesh_state.received_versions
+            if each.version > version
+        ),
+        float('inf'),
+    )
+
+
 def expire_held_targets(mesh_state: MeshState, now: float) -> list[str]:
     """Remove targets that have not registered again after a store outage.
 
@@ -334,8 +383,16 @@
     mesh_state: MeshState, table: RoutingTable, now: float
 ) -> None:
     if mesh_state.table is None or table.version > mesh_state.table.version:
+        older_until = now + OLD_TABLE_GRACE_S
+        if isfinite(mesh_state.unchanged_until):
+            older_until = min(
+                older_until, mesh_state.unchanged_until + CHANGE_BOUND_S
+            )
         mesh_state.table = table
         mesh_state.table_received_at = now
+        mesh_state.received_versions.append(
+            VersionReceipt(table.version, older_until)
+        )
 
 
 def _delete_record(mesh_state: MeshState, key: str, now: float) -> None:
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -165,6 +165,8 @@
         uri=req.uri,
         headers=headers,
         body=b'',
+        received_at=now - terms.get('age_ms', 0) / MS_PER_SECOND,
+        version=terms.get('version'),
     )
 
 
--- a/marjoramlead/routes.py
+++ b/marjoramlead/routes.py
@@ -18,6 +18,7 @@
     'ServiceConfig',
     'WeightedService',
     'choose_service',
+    'find_request_route',
     'find_route',
 )
 
@@ -139,6 +140,15 @@
     return None
 
 
+def find_request_route(
+    table: RoutingTable, host_header: str, uri: bytes
+) -> Route | None:
+    """Find the route of a request by its Host header and its URI."""
+    host = host_header.partition(':')[0]
+    path = uri.decode('latin-1').partition('?')[0]
+    return find_route(table, host, path)
+
+
 @dataclass(slots=True)
 class RoundRobinState:
     """State of the weighted round robin of each route with several services.
--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -13,6 +13,7 @@
 from marjoramlead.events import emit
 from marjoramlead.header_names import HeaderNames
 from marjoramlead.hops import Job
+from marjoramlead.job_routes import refuse_changed_route
 from marjoramlead.ledger import AttemptLedger, Outcome
 from marjoramlead.mesh_state import (
     MeshState,
@@ -216,7 +217,7 @@
     pending_bytes
         Length of the body if the sender waits to be told to send it.
     """
-    refusal = refuse_if_unavailable(gate, job.target_id)
+    refusal = _refuse_job(gate, job)
     if refusal is not None:
         return refusal
     entry = QueueEntry(
@@ -244,7 +245,7 @@
     _schedule_start(gate, now)
     refusal = await _wait_for_slot(gate, entry)
     if refusal is None:
-        refusal = _refuse_late_body(
+        refusal = _refuse_if_rerouted(gate, job) or _refuse_late_body(
             gate, entry, pending_bytes, gate.reactor.seconds()
         )
         if refusal is not None:
@@ -254,6 +255,18 @@
     return refusal
 
 
+def _refuse_job(gate: TargetGate, job: Job) -> Refusal | None:
+    return refuse_if_unavailable(gate, job.target_id) or _refuse_if_rerouted(
+        gate, job
+    )
+
+
+def _refuse_if_rerouted(gate: TargetGate, job: Job) -> Refusal | None:
+    if gate.target_entry is None:
+        return None
+    return refuse_changed_route(gate.mesh_state, job, gate.target_entry.service)
+
+
 def _refuse_late_body(
     gate: TargetGate, entry: QueueEntry, length: int, now: float
 ) -> Refusal | None:
@@ -301,14 +314,19 @@
         raise
     if body is None:
         body = not_run_refusal(Reason.DEADLINE)
-    refusal = refuse_if_unavailable(gate, job.target_id)
+    refusal = _refuse_job(gate, job)
     if isinstance(body, Refusal) or refusal is not None:
         queue.receiving.pop(number)
         return refusal or body
     if end_receiving(queue, number, reactor.seconds()):
         return body
     _schedule_start(gate, reactor.seconds())
-    return await _wait_for_slot(gate, entry) or body
+    refusal = await _wait_for_slot(gate, entry)
+    if refusal is None:
+        refusal = _refuse_if_rerouted(gate, job)
+        if refusal is not None:
+            release_slot(gate, number)
+    return refusal or body
 
 
 async def _wait_for_slot(gate: TargetGate, entry: QueueEntry) -> Refusal | None:
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -8,6 +8,7 @@
 from marjoramlead.deadlines import TimedWait
 from marjoramlead.events import emit
 from marjoramlead.hops import Job, attempt_id
+from marjoramlead.job_routes import with_current_version
 from marjoramlead.ledger import (
     Outcome,
     query_outcome,
@@ -112,10 +113,13 @@
         done: Deferred[Outcome] = Deferred()
         done.callback(refusal)
         return done
+    entry = gate.target_entry
     task = Deferred.fromCoroutine(
         _serve(
             gate,
-            job,
+            with_current_version(
+                gate.mesh_state, job, entry.service if entry else None
+            ),
             read_body or (lambda: _read_job_body(job)),
             pending_body,
         ),
--- a/marjoramlead/verdict.py
+++ b/marjoramlead/verdict.py
@@ -37,6 +37,7 @@
     NOT_READY = 'not_ready'
     OVERLOAD = 'overload'
     RATE_LIMIT = 'rate_limit'
+    ROUTE_CHANGED = 'route_changed'
     SILENT = 'silent'
     TARGET_FAILED = 'target_failed'
     TARGET_FULL = 'target_full'
