Send the difference if a column of the routing table comes or goes

Followers received whole tables (5 to 8 copies of 70 kB over one narrow link), and requests to other nodes were lost there. The column WeightedServices is present only while a route is split. When it comes or goes all rows change, and the difference found no row in common.

Of the versions that the receiver has, the base is the one with most bytes in equal rows, so that a change back to an earlier shape costs no more than a usual one.

--- a/marjoramlead/feeds.py
+++ b/marjoramlead/feeds.py
@@ -12,7 +12,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from marjoramlead.deltas import Edit, apply_delta, encode_delta
+from marjoramlead.deltas import Edit, apply_delta, common_bytes, encode_delta
 from marjoramlead.errors import Fault
 from marjoramlead.generated.hop_types import (
     FeedDocument,
@@ -25,6 +25,7 @@
     Record,
     RecordLog,
     find_version,
+    find_versions,
     large_record_revisions,
     records_after,
 )
@@ -164,7 +165,7 @@
         'revision': record.revision,
         'is_deleted': record.body is None,
     }
-    base = find_version(log, record.key, bases - {record.revision})
+    base = _choose_base(log, record, bases)
     if base is None or base.body is None:
         encoded['text'] = body.decode('latin-1')
     else:
@@ -180,6 +181,23 @@
     return encoded
 
 
+def _choose_base(
+    log: RecordLog, record: Record, bases: frozenset[int]
+) -> Record | None:
+    """Return the version that has most in common with a record.
+
+    It is not always the latest one: a column that is added and removed again
+    changes every row of a table twice.
+    """
+    body = record.body or b''
+    versions = find_versions(log, record.key, bases - {record.revision})
+    return max(
+        versions,
+        key=lambda version: common_bytes(version.body or b'', body),
+        default=None,
+    )
+
+
 def _decode_body(
     log: RecordLog, encoded: FeedRecord
 ) -> Result[bytes | None, Fault]:
--- a/marjoramlead/record_log.py
+++ b/marjoramlead/record_log.py
@@ -15,6 +15,7 @@
     'Record',
     'RecordLog',
     'find_version',
+    'find_versions',
     'large_record_revisions',
     'mark_compacted',
     'put_record',
@@ -121,14 +122,22 @@
     log: RecordLog, key: str, revisions: Container[int]
 ) -> Record | None:
     """Find the latest version of a record that has one of the revisions."""
+    return next(iter(find_versions(log, key, revisions)), None)
+
+
+def find_versions(
+    log: RecordLog, key: str, revisions: Container[int]
+) -> list[Record]:
+    """List the versions of a record by their revisions, the latest first."""
     versions = list(log.replaced.get(key, ()))
     current = log.by_key.get(key)
     if current is not None:
         versions.append(current)
-    for version in reversed(versions):
-        if version.revision in revisions:
-            return version
-    return None
+    return [
+        version
+        for version in reversed(versions)
+        if version.revision in revisions
+    ]
 
 
 def _keep_replaced(log: RecordLog, record: Record) -> None:
--- a/tests/test_config_storm.py
+++ b/tests/test_config_storm.py
@@ -91,3 +91,35 @@
     mesh.advance(IN_FORCE_S - gap_s)
     in_force = {host.sidecar.mesh_state.table.version for host in mesh.hosts}
     assert in_force == {version}
+
+
+def routes_without_splits():
+    """Return the routes without the column that is null in each row."""
+    routes = config(1, routes=ROUTES)['Routes']
+    return {
+        'Columns': routes['Columns'][:-1],
+        'Rows': [row[:-1] for row in routes['Rows']],
+    }
+
+
+def feed_bytes(host):
+    """Return the bytes that a node received from the feeds of others."""
+    traffic = host.sidecar.metrics.traffic
+    return traffic.labels('feed', 'received')._value.get()
+
+
+def test_column_that_comes_and_goes_is_not_sent_as_whole_texts():
+    mesh = settled_mesh()
+    before = [feed_bytes(host) for host in mesh.hosts]
+    version = 1
+    for _change in range(STORM_S):
+        mesh.configure(version + 1, Routes=routes_without_splits())
+        mesh.advance(0.5)
+        mesh.configure(version + 2, routes=ROUTES)
+        mesh.advance(0.5)
+        version += 2
+    received = [
+        feed_bytes(host) - start
+        for host, start in zip(mesh.hosts, before, strict=True)
+    ]
+    assert max(received) <= CONTROL_BYTES_PER_S * STORM_S
