Give up a read by its lack of progress, not by its total time

On narrow links, nodes with 1,700 routes (185 kB) did not have a change in force in time. A read was given up a fixed time after it began, also while its bytes still arrived, and then repeated whole; the discarded bytes filled the links that the repeated reads needed.

A response must still begin by the same deadline. Once it has begun, the read goes on while bytes arrive (0.5 s without one, and 5 s at most), both from the store and from other nodes. Giving up aborts the connection, so the server sends nothing more of it. A follower keeps a parent whose data is old if it has just received news from it; it left the parent before and read the store, and the same text was sent twice.

--- a/marjoramlead/clock.py
+++ b/marjoramlead/clock.py
@@ -15,6 +15,12 @@
     def cancel(self) -> None:
         """Cancel the call."""
 
+    def getTime(self) -> float:
+        """Return the time at which the call is due."""
+
+    def reset(self, delay: float) -> None:
+        """Make the call a delay in seconds from now."""
+
 
 class Clock(Protocol):
     """A monotonic clock that can schedule delayed calls."""
--- a/marjoramlead/deadlines.py
+++ b/marjoramlead/deadlines.py
@@ -64,6 +64,11 @@
                 if timer.active():
                     timer.cancel()
 
+    def postpone(self, timer: Timer, deadline: float) -> None:
+        """Move a deadline to a later time; an earlier one has no effect."""
+        if timer.active() and deadline > timer.getTime():
+            timer.reset(deadline - self._reactor.seconds())
+
     def _time_out(self) -> None:
         self.has_timed_out = True
         self._pending.cancel()
--- a/marjoramlead/feed_client.py
+++ b/marjoramlead/feed_client.py
@@ -8,7 +8,6 @@
 
 from marjoramlead.address import Address
 from marjoramlead.clock import Clock
-from marjoramlead.deadlines import TimedWait
 from marjoramlead.errors import Fault
 from marjoramlead.events import emit
 from marjoramlead.feeds import (
@@ -26,13 +25,13 @@
 )
 from marjoramlead.metrics import Metrics, traffic_counter
 from marjoramlead.record_log import Record
+from marjoramlead.transfers import receive
 from marjoramlead.upstream import (
     Connect,
     ConnectionPool,
     OutgoingRequest,
     SendResult,
     close_idle,
-    send,
 )
 
 __all__ = ('FeedClient', 'apply_feed', 'read_feed')
@@ -40,7 +39,8 @@
 # Idle connections are not reused after this time. Followers read at least once
 # in two seconds.
 IDLE_TIMEOUT_S: Final = 5.0
-# Time allowed for a response, beyond the time that the other node may wait.
+# Time allowed for a response to begin, beyond the time that the other node may
+# wait.
 RESPONSE_TIMEOUT_S: Final = 0.3
 
 
@@ -73,10 +73,11 @@
     outgoing = OutgoingRequest(
         b'GET', encode_feed_query(query), [(b'Host', b'node')], b''
     )
-    wait = TimedWait(client.reactor, send(pool, outgoing))
     now = client.reactor.seconds()
-    wait.add_deadline(now + query.wait_s + RESPONSE_TIMEOUT_S)
-    body = _response_body(await wait.result())
+    deadline = now + query.wait_s + RESPONSE_TIMEOUT_S
+    body = _response_body(
+        await receive(client.reactor, pool, outgoing, deadline)
+    )
     if body.is_error() or not query.wait_s:
         close_idle(pool)
         client.pools.pop(address, None)
--- a/marjoramlead/http_connection.py
+++ b/marjoramlead/http_connection.py
@@ -30,6 +30,7 @@
     'HttpConnection',
     'OnAcknowledged',
     'OnClosed',
+    'OnProgress',
     'OnTraffic',
     'OutgoingRequest',
     'Reply',
@@ -91,6 +92,7 @@
 ReplyMatcher = Callable[[Reply], bool]
 OnAcknowledged = Callable[[], None]
 OnClosed = Callable[[], None]
+OnProgress = Callable[[], None]
 # Called with the numbers of bytes sent and received.
 OnTraffic = Callable[[int, int], None]
 
@@ -134,6 +136,7 @@
     outgoing: OutgoingRequest
     matches: ReplyMatcher
     on_acknowledged: OnAcknowledged
+    on_progress: OnProgress
     done: Deferred[SendResult]
     sent_bytes: int = 0
     response: h11.Response | None = None
@@ -182,7 +185,8 @@
         outgoing: OutgoingRequest,
         matches: ReplyMatcher,
         on_acknowledged: OnAcknowledged,
-        on_closed: OnClosed | None = None,
+        on_closed: OnClosed | None,
+        on_progress: OnProgress,
     ) -> Deferred[SendResult]:
         """Send a request and return the result of the exchange.
 
@@ -199,11 +203,15 @@
             Called with each interim response.
         on_closed
             Called after a cancellation when the server has closed, too.
+        on_progress
+            Called whenever bytes arrive while the response is awaited.
         """
         done: Deferred[SendResult] = Deferred(
             lambda _done: self._cancel(on_closed)
         )
-        exchange = _Exchange(outgoing, matches, on_acknowledged, done)
+        exchange = _Exchange(
+            outgoing, matches, on_acknowledged, on_progress, done
+        )
         self._exchange = exchange
         self._write(_encode_head(self._parser, outgoing))
         if not outgoing.expects_continue:
@@ -214,6 +222,7 @@
         """Process received bytes; abort if no request is in progress."""
         self.on_traffic(0, len(chunk))
         if self._exchange is not None:
+            self._exchange.on_progress()
             self._receive(chunk)
         elif self._on_closed is None:
             self.abort()
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -10,13 +10,13 @@
 
 from marjoramlead.address import Address
 from marjoramlead.clock import Clock
-from marjoramlead.deadlines import TimedWait
 from marjoramlead.errors import Fault
 from marjoramlead.events import emit
 from marjoramlead.metrics import Metrics, traffic_counter
 from marjoramlead.platform.names import OPERATOR_PREFIX, TARGET_PREFIX
 from marjoramlead.record_log import Record
 from marjoramlead.store_watcher import StoreUpdate
+from marjoramlead.transfers import receive
 from marjoramlead.upstream import (
     Connect,
     ConnectionPool,
@@ -24,7 +24,6 @@
     SendResult,
     close_idle,
     connect_tcp,
-    send,
 )
 
 __all__ = ('PlatformStore',)
@@ -141,9 +140,10 @@
         }
         uri = f'/-/{endpoint}?{urlencode(params)}'.encode()
         outgoing = OutgoingRequest(b'GET', uri, [(b'Host', self._host)], b'')
-        wait = TimedWait(self._reactor, send(self._pool, outgoing))
-        wait.add_deadline(self._reactor.seconds() + wait_s + RESPONSE_TIMEOUT_S)
-        send_result = await wait.result()
+        deadline = self._reactor.seconds() + wait_s + RESPONSE_TIMEOUT_S
+        send_result = await receive(
+            self._reactor, self._pool, outgoing, deadline
+        )
         response = _decode_response(send_result)
         outcome = response.error.path if response.is_error() else 'answered'
         self._metrics.store_calls.labels(outcome).inc()
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -244,7 +244,9 @@
         _apply_document(watcher, result.ok, parent[0])
     now = watcher.reactor.seconds()
     age = now - watcher.mesh_state.confirmed_at
-    if result.is_error() or age > MAX_FEED_AGE_S:
+    # News that took long on a narrow link is old, and is still the latest.
+    is_old = age > MAX_FEED_AGE_S and watcher.mesh_state.revision == query.after
+    if result.is_error() or is_old:
         watcher.avoided_until[parent] = now + PARENT_BACKOFF_S
         emit(
             'parent_lost',
--- /dev/null
+++ b/marjoramlead/transfers.py
@@ -0,0 +1,58 @@
+"""Receive responses that may take long on a narrow link.
+
+A response is given up if it does not begin in time, or if no more bytes of it
+arrive. A limit on its total time would discard most of a text that fills the
+link, and the repeated read would fill it again.
+"""
+
+from typing import Final
+
+from marjoramlead.clock import Clock
+from marjoramlead.deadlines import TimedWait
+from marjoramlead.upstream import (
+    ConnectionPool,
+    OutgoingRequest,
+    SendResult,
+    send,
+)
+
+__all__ = ('receive',)
+
+# Longest time without a byte, once a response has begun. TCP sends a lost
+# packet again after some 200 ms, and then after twice that time.
+PROGRESS_TIMEOUT_S: Final = 0.5
+# Longest time for which a response may continue to arrive after its deadline.
+MAX_TRANSFER_S: Final = 5.0
+
+
+async def receive(
+    reactor: Clock,
+    pool: ConnectionPool,
+    outgoing: OutgoingRequest,
+    deadline: float,
+) -> SendResult | None:
+    """Send a request and wait for its complete response.
+
+    Parameters
+    ----------
+    reactor
+        Clock of the deadline.
+    pool
+        Connections to the address to send to.
+    outgoing
+        Request to send.
+    deadline
+        Time by which the response must begin, or be complete.
+
+    Returns
+    -------
+    The result, or None if the response was given up.
+    """
+
+    def on_progress() -> None:
+        expected_by = reactor.seconds() + PROGRESS_TIMEOUT_S
+        wait.postpone(timer, min(expected_by, deadline + MAX_TRANSFER_S))
+
+    wait = TimedWait(reactor, send(pool, outgoing, on_progress=on_progress))
+    timer = wait.add_deadline(deadline)
+    return await wait.result()
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -4,10 +4,11 @@
 from random import Random
 
 import pytest
-from expression import Error
+from expression import Error, Ok
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol
 
+from marjoramlead import store_watcher
 from marjoramlead.errors import Fault
 from marjoramlead.feed_client import apply_feed
 from marjoramlead.feed_tree import choose_sources
@@ -21,7 +22,7 @@
 )
 from marjoramlead.platform.decoding import decode_record
 from marjoramlead.record_log import Record
-from marjoramlead.store_watcher import WATCH_TIMEOUT_S
+from marjoramlead.store_watcher import MAX_FEED_AGE_S, WATCH_TIMEOUT_S
 from standins.platform_store import delete, put
 from tests.platform_mesh import INBOUND, STORE, config, ready_mesh, route
 
@@ -195,6 +196,30 @@
     assert versions(mesh) == {2}
 
 
+@pytest.mark.parametrize('is_news', [True, False])
+def test_follower_leaves_a_parent_with_old_data_unless_it_is_news(
+    monkeypatch, is_news
+):
+    mesh = fleet()
+    follower = next(host for host in mesh.hosts if parent(host))
+    watcher = follower.sidecar.store_watcher
+    mesh_state = watcher.mesh_state
+    document = {
+        'revision': mesh_state.revision + is_news,
+        'age_s': MAX_FEED_AGE_S + 0.1,
+        'records': [],
+    }
+    mesh_state.confirmed_at -= MAX_FEED_AGE_S + 0.1
+
+    async def read_old(*_arguments):
+        return Ok(document)
+
+    monkeypatch.setattr(store_watcher, 'read_feed', read_old)
+    address = watcher.feed_sources().parent
+    Deferred.fromCoroutine(store_watcher._follow(watcher, address))
+    assert (address in watcher.avoided_until) is not is_news
+
+
 def test_target_that_leaves_is_known_in_time_without_its_reader():
     mesh = fleet()
     reader = readers(mesh)[0]
--- /dev/null
+++ b/tests/test_grown_config.py
@@ -0,0 +1,116 @@
+"""Texts that fill narrow links are passed on once, and in time."""
+
+from dataclasses import dataclass
+
+import pytest
+
+from tests.memory_net import STEP_S
+from tests.platform_mesh import INBOUND, STORE, ready_mesh, route
+
+# Bound of the rules for a change to be in force.
+CONFIG_APPLY_S = 2.5
+GROWN = [route(f'r{number}', 'safe', 'web') for number in range(1700)]
+PACKET_BYTES = 1500
+
+
+@dataclass
+class Link:
+    """A link of limited rate, shared by the connections from one address."""
+
+    clock: object
+    bytes_per_s: float
+    credit: float = 0
+    counted_at: float = 0
+
+    def take(self, size):
+        """Return how many of some waiting bytes may be sent now."""
+        now = self.clock.seconds()
+        self.credit += (now - self.counted_at) * self.bytes_per_s
+        # An idle link saves no more than one step.
+        most = max(2 * STEP_S * self.bytes_per_s, PACKET_BYTES)
+        self.credit = min(self.credit, most)
+        self.counted_at = now
+        size = min(size, PACKET_BYTES, int(self.credit))
+        self.credit -= size
+        return size
+
+
+def limit_rates(mesh, bytes_per_s):
+    """Limit what a node sends to its followers, and each store connection."""
+    links = {}
+    open_connection = mesh.net.open
+
+    def narrow(connection):
+        key = connection.port
+        if key[1] != INBOUND and key != STORE:
+            return
+        link = Link(mesh.reactor, bytes_per_s, 0, mesh.reactor.seconds())
+        if key != STORE:
+            link = links.setdefault(key, link)
+        unsent = [b'']
+        written = connection.server.take
+
+        def send_some():
+            waiting = unsent.pop() + written()
+            if connection.client.disconnecting:
+                waiting = b''
+            size = link.take(len(waiting))
+            unsent.append(waiting[size:])
+            return waiting[:size]
+
+        connection.server.take = send_some
+
+    def open_narrow(port, factory):
+        known = {id(each) for each in mesh.net.connections}
+        opened = open_connection(port, factory)
+        for each in mesh.net.connections:
+            if id(each) not in known:
+                narrow(each)
+        return opened
+
+    mesh.net.open = open_narrow
+    for each in mesh.net.connections:
+        narrow(each)
+
+
+@pytest.mark.parametrize(
+    'link_bytes_per_s', [300_000, 400_000, 625_000, 12_500_000]
+)
+@pytest.mark.parametrize('versions_after', [0, 12])
+def test_grown_configuration_is_in_force_in_time_on_narrow_links(
+    link_bytes_per_s, versions_after
+):
+    """A text that fills a link is passed on once, not given up and repeated.
+
+    The link from a node to the nodes that follow it has a limited rate, and so
+    has each connection to the store. Bytes of a connection that was closed are
+    dropped.
+    """
+    mesh = ready_mesh(*('web' for _host in range(34)))
+    mesh.advance(3)
+    mesh.configure(2, routes=GROWN[:300])
+    mesh.advance(5)
+    limit_rates(mesh, link_bytes_per_s)
+    published_at = {}
+    stale = set()
+    started_at = mesh.reactor.seconds()
+    mesh.configure(3, routes=GROWN)
+    published_at[3] = started_at
+    while mesh.reactor.seconds() < started_at + 8:
+        mesh.advance(0.21)
+        now = mesh.reactor.seconds()
+        version = len(published_at) + 3
+        if version <= versions_after + 3:
+            mesh.configure(version, routes=GROWN[version:])
+            published_at[version] = now
+        due = [
+            each
+            for each, sent_at in published_at.items()
+            if sent_at + CONFIG_APPLY_S < now
+        ]
+        stale.update(
+            (host.address, round(now - started_at, 1))
+            for host in mesh.hosts
+            if due and host.sidecar.mesh_state.table.version < max(due)
+        )
+    assert not stale
