--- a/marjoramlead/http_connection.py
+++ b/marjoramlead/http_connection.py
@@ -30,7 +30,6 @@
     'HttpConnection',
     'OnAcknowledged',
     'OnClosed',
-    'OnProgress',
     'OnTraffic',
     'OutgoingRequest',
     'Reply',
@@ -49,6 +48,13 @@
 METHODS_WITH_BODY: Final = frozenset((b'POST', b'PUT', b'PATCH'))
 
 
+OnProgress = Callable[[], None]
+
+
+def _ignore_progress() -> None:
+    """Do nothing: most senders do not follow the progress of a response."""
+
+
 class OutgoingRequest(NamedTuple):
     """A request to send, whose body is framed by Content-Length.
 
@@ -58,6 +64,8 @@
         Whether to send "Expect: 100-continue" and hold the body back until
         the server sends "100 Continue". The server may grant the body in parts
         (``headers.BODY_GRANTED``).
+    on_progress
+        Called whenever bytes arrive while the response is awaited.
     """
 
     method: bytes
@@ -65,6 +73,7 @@
     headers: HeaderList
     body: bytes
     expects_continue: bool = False
+    on_progress: OnProgress = _ignore_progress
 
 
 class Reply(NamedTuple):
@@ -92,7 +101,6 @@
 ReplyMatcher = Callable[[Reply], bool]
 OnAcknowledged = Callable[[], None]
 OnClosed = Callable[[], None]
-OnProgress = Callable[[], None]
 # Called with the numbers of bytes sent and received.
 OnTraffic = Callable[[int, int], None]
 
@@ -136,7 +144,6 @@
     outgoing: OutgoingRequest
     matches: ReplyMatcher
     on_acknowledged: OnAcknowledged
-    on_progress: OnProgress
     done: Deferred[SendResult]
     sent_bytes: int = 0
     response: h11.Response | None = None
@@ -185,8 +192,7 @@
         outgoing: OutgoingRequest,
         matches: ReplyMatcher,
         on_acknowledged: OnAcknowledged,
-        on_closed: OnClosed | None,
-        on_progress: OnProgress,
+        on_closed: OnClosed | None = None,
     ) -> Deferred[SendResult]:
         """Send a request and return the result of the exchange.
 
@@ -203,15 +209,11 @@
             Called with each interim response.
         on_closed
             Called after a cancellation when the server has closed, too.
-        on_progress
-            Called whenever bytes arrive while the response is awaited.
         """
         done: Deferred[SendResult] = Deferred(
             lambda _done: self._cancel(on_closed)
         )
-        exchange = _Exchange(
-            outgoing, matches, on_acknowledged, on_progress, done
-        )
+        exchange = _Exchange(outgoing, matches, on_acknowledged, done)
         self._exchange = exchange
         self._write(_encode_head(self._parser, outgoing))
         if not outgoing.expects_continue:
@@ -222,7 +224,7 @@
         """Process received bytes; abort if no request is in progress."""
         self.on_traffic(0, len(chunk))
         if self._exchange is not None:
-            self._exchange.on_progress()
+            self._exchange.outgoing.on_progress()
             self._receive(chunk)
         elif self._on_closed is None:
             self.abort()
--- a/marjoramlead/transfers.py
+++ b/marjoramlead/transfers.py
@@ -59,6 +59,7 @@
             timer, min(now + PROGRESS_TIMEOUT_S, began_at + max_transfer_s)
         )
 
-    wait = TimedWait(reactor, send(pool, outgoing, on_progress=on_progress))
+    watched = outgoing._replace(on_progress=on_progress)
+    wait = TimedWait(reactor, send(pool, watched))
     timer = wait.add_deadline(deadline)
     return await wait.result()
--- a/marjoramlead/upstream.py
+++ b/marjoramlead/upstream.py
@@ -19,7 +19,6 @@
     HttpConnection,
     OnAcknowledged,
     OnClosed,
-    OnProgress,
     OnTraffic,
     OutgoingRequest,
     Reply,
@@ -132,7 +131,6 @@
     on_acknowledged: OnAcknowledged = _ignore_progress,
     on_connected: Callable[[], None] = _ignore_progress,
     on_closed: OnClosed | None = None,
-    on_progress: OnProgress = _ignore_progress,
 ) -> SendResult:
     """Send a request and wait for its complete response.
 
@@ -156,8 +154,6 @@
     on_closed
         Called after a cancellation when the server has closed the connection,
         too. Without it, the connection is reset.
-    on_progress
-        Called whenever bytes arrive while the response is awaited.
     """
     connection = _pop_idle(pool)
     if connection is None:
@@ -168,7 +164,7 @@
     on_connected()
     try:
         return await connection.exchange(
-            outgoing, matches, on_acknowledged, on_closed, on_progress
+            outgoing, matches, on_acknowledged, on_closed
         )
     except CancelledError:
         if on_closed is not None:
