--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -288,6 +288,24 @@
     assert receiver.records.by_key['op/config'].body == texts[3]
 
 
+def test_base_of_a_difference_has_the_same_columns():
+    documents = [config(version, routes=ROUTES) for version in (1, 2, 3)]
+    routes = documents[1]['Routes']
+    routes['Columns'] = routes['Columns'][:-1]
+    routes['Rows'] = [row[:-1] for row in routes['Rows']]
+    texts = [json.dumps(document).encode() for document in documents]
+    common = [
+        Record('op/config', text, revision)
+        for revision, text in ((2, texts[0]), (4, texts[1]))
+    ]
+    receiver = mesh_state_with(*common)
+    confirm_revision(receiver, 4, 0, 0)
+    sender = mesh_state_with(*common, Record('op/config', texts[2], 6))
+    confirm_revision(sender, 6, 0, 0)
+    assert send_feed(sender, receiver) < 1000
+    assert receiver.records.by_key['op/config'].body == texts[2]
+
+
 def test_data_of_a_node_that_knows_less_confirms_nothing():
     receiver = mesh_state_with()
     confirm_revision(receiver, 9, 0, 0)
