--- a/marjoramlead/feed_client.py
+++ b/marjoramlead/feed_client.py
@@ -8,7 +8,7 @@
 
 from marjoramlead.address import Address
 from marjoramlead.clock import Clock
-from marjoramlead.deadlines import TimedWait
+from marjoramlead.compression import CONTENT_CODING, decompress
 from marjoramlead.errors import Fault
 from marjoramlead.events import emit
 from marjoramlead.feeds import (
@@ -26,13 +26,14 @@
 )
 from marjoramlead.metrics import Metrics, traffic_counter
 from marjoramlead.record_log import Record
+from marjoramlead.transfers import receive
 from marjoramlead.upstream import (
     Connect,
     ConnectionPool,
     OutgoingRequest,
     SendResult,
     close_idle,
-    send,
+    header_value,
 )
 
 __all__ = ('FeedClient', 'apply_feed', 'read_feed')
@@ -40,8 +41,16 @@
 # Idle connections are not reused after this time. Followers read at least once
 # in two seconds.
 IDLE_TIMEOUT_S: Final = 5.0
-# Time allowed for a response, beyond the time that the other node may wait.
+# Time allowed for a response to begin, beyond the time that the other node may
+# wait.
 RESPONSE_TIMEOUT_S: Final = 0.3
+# Longest time in which a response may arrive. After that, a change is still in
+# force in time if the store is read instead.
+MAX_TRANSFER_S: Final = 1.3
+REQUEST_HEADERS: Final = (
+    (b'Host', b'node'),
+    (b'Accept-Encoding', CONTENT_CODING),
+)
 
 
 @dataclass(slots=True)
@@ -71,12 +80,13 @@
     """
     pool = _pool_for(client, address)
     outgoing = OutgoingRequest(
-        b'GET', encode_feed_query(query), [(b'Host', b'node')], b''
+        b'GET', encode_feed_query(query), REQUEST_HEADERS, b''
     )
-    wait = TimedWait(client.reactor, send(pool, outgoing))
     now = client.reactor.seconds()
-    wait.add_deadline(now + query.wait_s + RESPONSE_TIMEOUT_S)
-    body = _response_body(await wait.result())
+    deadline = now + query.wait_s + RESPONSE_TIMEOUT_S
+    body = _response_body(
+        await receive(client.reactor, pool, outgoing, deadline, MAX_TRANSFER_S)
+    )
     if body.is_error() or not query.wait_s:
         close_idle(pool)
         client.pools.pop(address, None)
@@ -91,6 +101,9 @@
     reply = send_result.ok
     if reply.status != HTTPStatus.OK:
         return Error(Fault('feed', f'status {reply.status}'))
+    coding = header_value(reply.headers, b'content-encoding')
+    if coding.encode() == CONTENT_CODING:
+        return decompress(reply.body)
     return Ok(reply.body)
 
 
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -114,8 +114,8 @@
     """Encode the terms of a job.
 
     Its times are sent as milliseconds from or before now, because the clocks of
-    two nodes cannot be compared. ``body_window`` is the number of bytes that this
-    host's link carries soon.
+    two nodes cannot be compared. ``body_window`` is the number of bytes that
+    this host's link carries soon.
     """
     terms: JobTerms = {
         'request_id': job.request_id,
--- a/marjoramlead/http_connection.py
+++ b/marjoramlead/http_connection.py
@@ -48,6 +48,13 @@
 METHODS_WITH_BODY: Final = frozenset((b'POST', b'PUT', b'PATCH'))
 
 
+OnProgress = Callable[[], None]
+
+
+def _ignore_progress() -> None:
+    """Do nothing: most senders do not follow the progress of a response."""
+
+
 class OutgoingRequest(NamedTuple):
     """A request to send, whose body is framed by Content-Length.
 
@@ -57,6 +64,8 @@
         Whether to send "Expect: 100-continue" and hold the body back until
         the server sends "100 Continue". The server may grant the body in parts
         (``headers.BODY_GRANTED``).
+    on_progress
+        Called whenever bytes arrive while the response is awaited.
     """
 
     method: bytes
@@ -64,6 +73,7 @@
     headers: HeaderList
     body: bytes
     expects_continue: bool = False
+    on_progress: OnProgress = _ignore_progress
 
 
 class Reply(NamedTuple):
@@ -214,6 +224,7 @@
         """Process received bytes; abort if no request is in progress."""
         self.on_traffic(0, len(chunk))
         if self._exchange is not None:
+            self._exchange.outgoing.on_progress()
             self._receive(chunk)
         elif self._on_closed is None:
             self.abort()
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -4,10 +4,11 @@
 from random import Random
 
 import pytest
-from expression import Error
+from expression import Error, Ok
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol
 
+from marjoramlead import store_watcher
 from marjoramlead.errors import Fault
 from marjoramlead.feed_client import apply_feed
 from marjoramlead.feed_tree import choose_sources
@@ -21,7 +22,7 @@
 )
 from marjoramlead.platform.decoding import decode_record
 from marjoramlead.record_log import Record
-from marjoramlead.store_watcher import WATCH_TIMEOUT_S
+from marjoramlead.store_watcher import MAX_FEED_AGE_S, WATCH_TIMEOUT_S
 from standins.platform_store import delete, put
 from tests.platform_mesh import INBOUND, STORE, config, ready_mesh, route
 
@@ -195,6 +196,30 @@
     assert versions(mesh) == {2}
 
 
+@pytest.mark.parametrize('is_news', [True, False])
+def test_follower_leaves_a_parent_with_old_data_unless_it_is_news(
+    monkeypatch, is_news
+):
+    mesh = fleet()
+    follower = next(host for host in mesh.hosts if parent(host))
+    watcher = follower.sidecar.store_watcher
+    mesh_state = watcher.mesh_state
+    document = {
+        'revision': mesh_state.revision + is_news,
+        'age_s': MAX_FEED_AGE_S + 0.1,
+        'records': [],
+    }
+    mesh_state.confirmed_at -= MAX_FEED_AGE_S + 0.1
+
+    async def read_old(*_arguments):
+        return Ok(document)
+
+    monkeypatch.setattr(store_watcher, 'read_feed', read_old)
+    address = watcher.feed_sources().parent
+    Deferred.fromCoroutine(store_watcher._follow(watcher, address))
+    assert (address in watcher.avoided_until) is not is_news
+
+
 def test_target_that_leaves_is_known_in_time_without_its_reader():
     mesh = fleet()
     reader = readers(mesh)[0]
@@ -263,6 +288,24 @@
     assert receiver.records.by_key['op/config'].body == texts[3]
 
 
+def test_base_of_a_difference_has_the_same_columns():
+    documents = [config(version, routes=ROUTES) for version in (1, 2, 3)]
+    routes = documents[1]['Routes']
+    routes['Columns'] = routes['Columns'][:-1]
+    routes['Rows'] = [row[:-1] for row in routes['Rows']]
+    texts = [json.dumps(document).encode() for document in documents]
+    common = [
+        Record('op/config', text, revision)
+        for revision, text in ((2, texts[0]), (4, texts[1]))
+    ]
+    receiver = mesh_state_with(*common)
+    confirm_revision(receiver, 4, 0, 0)
+    sender = mesh_state_with(*common, Record('op/config', texts[2], 6))
+    confirm_revision(sender, 6, 0, 0)
+    assert send_feed(sender, receiver) < 1000
+    assert receiver.records.by_key['op/config'].body == texts[2]
+
+
 def test_data_of_a_node_that_knows_less_confirms_nothing():
     receiver = mesh_state_with()
     confirm_revision(receiver, 9, 0, 0)
