--- a/marjoramlead/queue_state.py
+++ b/marjoramlead/queue_state.py
@@ -13,6 +13,7 @@
     'TargetQueue',
     'available_tokens',
     'can_start',
+    'count_nested',
     'next_token_time',
     'retry_share',
     'return_token',
@@ -119,6 +120,11 @@
     return retries / len(running) if retries else 0
 
 
+def count_nested(queue: TargetQueue) -> int:
+    """Return the number of running requests that are nested."""
+    return sum(entry.is_nested for entry, _at in queue.running.values())
+
+
 def start_rate(queue: TargetQueue, now: float) -> float | None:
     """Return how many requests may start per second; None if unlimited."""
     limits = []
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -14,6 +14,7 @@
     record_outcome,
     register_attempt,
 )
+from marjoramlead.queue_state import count_nested
 from marjoramlead.queue_statistics import record_service_time
 from marjoramlead.target_gate import (
     ReadBody,
@@ -432,8 +433,11 @@
         left_ms=round((job.deadline - now) * MS_PER_SECOND),
         may_wait=job.may_wait,
         priority=job.priority,
+        is_nested=job.is_nested,
+        has_reservation=job.has_reservation,
         running=len(gate.queue.running),
         receiving=len(gate.queue.receiving),
+        running_nested=count_nested(gate.queue),
         waiting=len(gate.queue.waiting),
         slots=gate.queue.slots,
         is_cold=now < gate.queue.cold_until,
--- a/tests/overload.py
+++ b/tests/overload.py
@@ -15,7 +15,8 @@
 
 from tests.platform_mesh import Host, PlatformMesh
 
-HOSTS_PER_SERVICE = 2
+# Services of the hosts.
+HOSTS = ('api', 'web', 'api', 'web')
 SLOTS = 4
 # Shape of the gamma distribution of service times; their standard deviation is
 # about three quarters of the mean.
@@ -148,13 +149,15 @@
     number: int = 0
 
 
-def play_load(factor: float, seconds: float, seed: int = 1) -> LoadResult:
-    """Send ``factor`` times the capacity for some seconds."""
+def play_load(
+    factor: float, seconds: float, seed: int = 1, hosts=HOSTS
+) -> LoadResult:
+    """Send ``factor`` times the capacity of ``HOSTS`` for some seconds."""
     loaded = LoadedMesh(Random(seed))
     mesh = loaded.mesh
     mesh.configure(1, Routes={'Columns': COLUMNS, 'Rows': ROUTES})
-    for number in range(HOSTS_PER_SERVICE * 2):
-        host = mesh.add_host('web' if number % 2 else 'api', slots=SLOTS)
+    for service in hosts:
+        host = mesh.add_host(service, slots=SLOTS)
         host.target.work_of = partial(_work_s, loaded)
         host.target.make_calls = partial(_make_calls, loaded, host)
     mesh.advance(1)
