Test that a refused client is told the time that a target has reserved

A refusal of an offer for an immediate start carries 0.05 s, which is not a time of the target; the sender takes it for one.

--- a/tests/test_times_for_refused_clients.py
+++ b/tests/test_times_for_refused_clients.py
@@ -4,6 +4,12 @@
 they were told to. A time after the client's deadline can't be used by anyone.
 """
 
+from marjoramlead.offer_state import (
+    OfferState,
+    final_outcome,
+    record_refused_offer,
+)
+from marjoramlead.queue_estimates import MIN_RETRY_AFTER_S
 from marjoramlead.target_queue import (
     QueueEntry,
     TargetQueue,
@@ -11,7 +17,7 @@
     remove_running,
     start_ready,
 )
-from marjoramlead.verdict import Refusal
+from marjoramlead.verdict import Reason, Refusal, Verdict
 
 SLOTS = 6
 WORK_S = 0.12
@@ -54,3 +60,14 @@
         for second in range(SECONDS)
     ]
     assert all(usable), usable
+
+
+def test_client_is_told_the_time_that_the_target_has_reserved():
+    # A target without a free slot would have let the request wait, but has
+    # refused it by the time it was asked to.
+    offers = OfferState()
+    no_room = Refusal(Reason.NO_ROOM, Verdict.NOT_RUN, MIN_RETRY_AFTER_S)
+    overloaded = Refusal(Reason.OVERLOAD, Verdict.NOT_RUN, 1.2)
+    record_refused_offer(offers, 't1', no_room)
+    record_refused_offer(offers, 't1', overloaded)
+    assert final_outcome(offers) == overloaded
