Forget refused clients at their deadlines

Refused attempts were kept until 2,000 newer ones had come, not until their deadline as the module says, so up to 2,000 attempts stayed in memory after an overload, and live ones could be dropped before expired ones. A heap of the deadlines, of at most twice that number, finds the expired ones at each refusal.

--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -363,13 +363,13 @@
     if context.route is None or context.origin is Origin.RUNNING_REQUEST:
         return
     return_at = float('inf')
+    now = frontend.dispatcher.reactor.seconds()
     if refusal.reason in OVERLOAD_REASONS:
-        now = frontend.dispatcher.reactor.seconds()
         return_at = now + refusal.retry_after
     attempt = FirstAttempt(
         context.client_deadline, context.soft_deadline, return_at
     )
-    remember_refusal(frontend.refused_attempts, context.key, attempt)
+    remember_refusal(frontend.refused_attempts, context.key, attempt, now)
 
 
 def _build_refusal_response(
--- a/marjoramlead/request_origin.py
+++ b/marjoramlead/request_origin.py
@@ -13,6 +13,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import StrEnum
+from heapq import heapify, heappop, heappush
 from typing import Final, NamedTuple
 
 __all__ = (
@@ -63,21 +64,46 @@
 
 @dataclass(slots=True)
 class RefusedAttempts:
-    """First attempts of refused clients by request, the latest last."""
+    """First attempts of refused clients.
+
+    Attributes
+    ----------
+    by_key
+        Attempts by request, the latest last.
+    deadlines
+        Heap of the deadlines of attempts, with their requests. It may name
+        requests that were dropped or refused once more.
+    """
 
     by_key: OrderedDict[RequestKey, FirstAttempt] = field(
         default_factory=OrderedDict
     )
+    deadlines: list[tuple[float, RequestKey]] = field(default_factory=list)
 
 
 def remember_refusal(
-    refused: RefusedAttempts, key: RequestKey, attempt: FirstAttempt
+    refused: RefusedAttempts,
+    key: RequestKey,
+    attempt: FirstAttempt,
+    now: float,
 ) -> None:
-    """Remember a refused attempt; drop the oldest over the limit."""
+    """Remember a refused attempt, and forget those past their deadlines.
+
+    The oldest one over the limit is dropped.
+    """
+    _forget_expired(refused, now)
+    if attempt.deadline <= now:
+        return
     refused.by_key[key] = attempt
     refused.by_key.move_to_end(key)
     if len(refused.by_key) > MAX_REMEMBERED:
         refused.by_key.popitem(last=False)
+    heappush(refused.deadlines, (attempt.deadline, key))
+    if len(refused.deadlines) > 2 * MAX_REMEMBERED:
+        refused.deadlines = [
+            (each.deadline, name) for name, each in refused.by_key.items()
+        ]
+        heapify(refused.deadlines)
 
 
 def find_first_attempt(
@@ -105,3 +131,11 @@
     ):
         return None
     return attempt
+
+
+def _forget_expired(refused: RefusedAttempts, now: float) -> None:
+    while refused.deadlines and refused.deadlines[0][0] <= now:
+        _deadline, key = heappop(refused.deadlines)
+        attempt = refused.by_key.get(key)
+        if attempt is not None and attempt.deadline <= now:
+            refused.by_key.pop(key)
