--- a/marjoramlead/offer_state.py
+++ b/marjoramlead/offer_state.py
@@ -32,7 +32,7 @@
 # Retry-After value if no target has reported when it expects a free slot.
 DEFAULT_RETRY_AFTER_S: Final = 0.2
 # Refusal reasons after which the request may be offered to the same target
-# once more. Their times are constants, not times that the target has reserved.
+# once more.
 TRANSIENT_REASONS: Final = frozenset(
     (Reason.NO_ROOM, Reason.NEVER_SEEN),
 )
@@ -108,7 +108,7 @@
     """Record that an offer ended without a response of the target."""
     offers.last_refusal = refusal
     offers.has_reached_target |= refusal.reached_target
-    if refusal.retry_after and refusal.reason not in TRANSIENT_REASONS:
+    if refusal.retry_after:
         offers.retry_after.append(refusal.retry_after)
     offers.overload_refusals += refusal.reason in OVERLOAD_REASONS
     if refusal.reason not in TRANSIENT_REASONS:
