--- a/marjoramlead/queue_estimates.py
+++ b/marjoramlead/queue_estimates.py
@@ -66,9 +66,6 @@
 # Share of the slots for refused clients that return when they were told to. The
 # answers to them are late, and would displace answers in time.
 RESERVED_SHARE: Final = 0.1
-# Time that a refused client must have left when it returns, as a multiple of
-# the mean service time: it may have to wait, and service times vary.
-RETURN_WORK_FACTOR: Final = 2.5
 
 # Rank, served share of the route, deadline and number; the lowest goes first.
 SchedulingKey = tuple[Rank, float, float, int]
@@ -242,23 +239,19 @@
     """Refuse a request, and tell its client to return once it can be served.
 
     Each refused client gets a time of its own, after those that were told to
-    return before it. If that time is too late for the client, nothing is
-    reserved, and the client is told not to return before its deadline. So in a
-    long overload, new clients get the times that become free.
+    return before it. During a long overload these times soon lie beyond the
+    clients' deadlines.
     """
     reason = _refusal_reason(queue, now)
     return_at = max(now + excess_s, queue.reserved_until)
-    service_time = expected_service_time(queue, entry, now)
-    if return_at + RETURN_WORK_FACTOR * service_time <= entry.deadline:
-        queue.reserved_until = min(
-            now + MAX_RETRY_AFTER_S,
-            return_at + service_time / (RESERVED_SHARE * max(1, queue.slots)),
-        )
-    else:
-        return_at = max(return_at, entry.deadline)
     retry_after = min(
         MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, return_at - now)
     )
+    service_time = expected_service_time(queue, entry, now)
+    queue.reserved_until = min(
+        now + MAX_RETRY_AFTER_S,
+        return_at + service_time / (RESERVED_SHARE * max(1, queue.slots)),
+    )
     return Refusal(reason, Verdict.NOT_RUN, retry_after)
 
 
