--- a/marjoramlead/bodies.py
+++ b/marjoramlead/bodies.py
@@ -3,8 +3,8 @@
 ``twisted.web`` by itself keeps a body in memory or in a file until it is
 complete. A :class:`BodyStream` passes each chunk on as it arrives, and stops
 reading from the caller while the consumer is paused. Without a consumer, it
-keeps the first chunks and reads on: a connection that is not read does not show
-that the caller has closed it.
+keeps the first chunks and continues to read: while reading is paused, the close
+of a connection is not detected.
 """
 
 from typing import Final, Protocol
--- a/marjoramlead/hop_client.py
+++ b/marjoramlead/hop_client.py
@@ -4,7 +4,7 @@
 outcome of the request is queried over a new connection. This recovers the
 response, or shows whether the request may be retried at another target. A
 request whose caller leaves is withdrawn in the same way, unless the node has
-heard the close of its connection.
+closed the connection as well.
 """
 
 from collections.abc import Callable
@@ -60,7 +60,7 @@
 # they cross the network only once the target has a slot for the request.
 EXPECT_CONTINUE_BYTES: Final = 4096
 # Time after a cancellation until a node that has not closed the connection is
-# told over a new one. TCP repeats a lost packet after 200 ms only.
+# notified over a new one. TCP retransmits a lost packet only after 200 ms.
 WITHDRAW_DELAY_S: Final = 0.15
 # Longest time for which one query waits, as its connection may go silent, too.
 # It is shorter than ``peer_requests.MAX_QUERY_TRAVEL_S``.
@@ -79,7 +79,7 @@
     (Reason.DRAINING, Reason.NOT_READY, Reason.WRONG_TARGET),
 )
 
-# Outcome of a job that its node has not told.
+# Outcome of a job if its node has not reported one.
 UNKNOWN_OUTCOME: Final = Refusal(
     Reason.SILENT, Verdict.MAY_HAVE_RUN, 0, reached_target=True
 )
@@ -98,8 +98,8 @@
     silence_timer
         Timer of ``silent``; None before the job is sent.
     is_settled
-        Whether the node knows that the job is over: it has told the outcome, or
-        has closed the connection that was cancelled here.
+        Whether the node is known to have ended the job: it has reported the
+        outcome, or has closed the connection that was cancelled here.
     """
 
     offered_at: float
@@ -180,7 +180,7 @@
 ) -> Outcome:
     """Send a job and return its outcome, also if the connection fails.
 
-    Once cancelled, the job is withdrawn unless its node has heard the close.
+    If cancelled, the job is withdrawn unless its node closes the connection.
     """
     try:
         return await _send_and_resolve(client, job, host, progress)
@@ -276,7 +276,7 @@
 def _withdraw_unheard(
     client: HopClient, job: Job, host: str, progress: _HopProgress
 ) -> None:
-    """Withdraw a cancelled job if its node may not have heard the close."""
+    """Withdraw a cancelled job unless its node is known to have ended it."""
     if not progress.is_settled:
         withdrawing = Deferred.fromCoroutine(
             _withdraw(client, job, host, progress.offered_at)
--- a/marjoramlead/http_connection.py
+++ b/marjoramlead/http_connection.py
@@ -197,7 +197,7 @@
         """Send a request and return the result of the exchange.
 
         Cancelling the result closes the connection: at once, or with
-        ``on_closed`` in a way that shows whether the server has heard it.
+        ``on_closed`` by a half-close, after which the server closes, too.
 
         Parameters
         ----------
@@ -254,8 +254,8 @@
     def _cancel(self, on_closed: OnClosed | None) -> None:
         """Close the connection, which tells the server to stop.
 
-        A half-close is repeated by TCP until it is acknowledged, a reset is
-        sent only once.
+        TCP retransmits a half-close until it is acknowledged, but sends a reset
+        only once.
         """
         self._exchange = None
         if on_closed is None:
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -227,8 +227,8 @@
     handler: Handler
     site: 'StreamSite'
     transport: Transport  # type: ignore[assignment]  # always TCP
-    # Bytes of later requests that are kept before reading stops, and with it
-    # the notice of a close.
+    # Bytes of later requests that are kept before reading stops. While it is
+    # stopped, the close of the connection is not detected.
     _optimisticEagerReadSize = MAX_UNREAD_BYTES  # noqa: WPS115  # overrides
 
     def __init__(self) -> None:
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -52,7 +52,7 @@
 # target stops a request at the deadline that it was given, and then responds.
 TARGET_RESPONSE_GRACE_S: Final = 0.1
 # Longest time for which a request holds a slot while its body arrives. TCP
-# repeats a lost packet after 200 ms.
+# retransmits a lost packet after 200 ms.
 BODY_TIMEOUT_S: Final = 0.5
 # Deducted from the time limit sent to a target, so that its response can return
 # before the deadline.
