--- a/tests/test_grown_config.py
+++ b/tests/test_grown_config.py
@@ -84,13 +84,19 @@
 
     return [
         [
-            f'r-{word(7)}', f'{word(5)}.example', f'/{word(7)}/{word(4)}/',
+            f'r-{word(7)}',
+            f'{word(5)}.example',
+            f'/{word(7)}/{word(4)}/',
             rng.choice(['safe', 'unsafe', 'upload']),
-            f'{rng.randrange(600, 3000)}ms', f'{rng.randrange(200, 900)}ms',
-            rng.randrange(3), rng.choice(['web', 'api']), 2, None,
+            f'{rng.randrange(600, 3000)}ms',
+            f'{rng.randrange(200, 900)}ms',
+            rng.randrange(3),
+            rng.choice(['web', 'api']),
+            2,
+            None,
         ]
         for _route in GROWN
-    ]  # fmt: skip
+    ]
 
 
 @pytest.mark.parametrize(
