Field terms in names and comments of the new modules

Behaviour is as before; the new log field of the line withdrawn is named is_acknowledged. No check is changed.

--- a/marjoramlead/body_grants.py
+++ b/marjoramlead/body_grants.py
@@ -2,11 +2,11 @@
 
 All bodies that other nodes send to this host share its link. A node grants
 them by bytes, at most ``MAX_BACKLOG_S`` of the link's rate at a time, the
-oldest body first. So whatever is sent later, such as the close of a connection,
-arrives soon, for any number and size of uploads and on a link of any rate.
+oldest body first. This bounds the queueing delay of other traffic, such as the
+close of a connection, for any number and size of uploads and any link rate.
 
-The last ``FINAL_PART_BYTES`` of a body are not granted here: they are sent when
-the request has a slot, which shows that its sender still waits for the answer.
+The last ``FINAL_PART_BYTES`` of a body are not granted here. They are requested
+once the request has a slot, which confirms that its sender still waits.
 
 This module does no I/O.
 """
--- a/marjoramlead/hop_client.py
+++ b/marjoramlead/hop_client.py
@@ -93,11 +93,11 @@
     ----------
     connected_at, acknowledged_at
         None before the stage.
-    silent
+    ack_timed_out
         Fires if the node does not acknowledge the job in time.
-    silence_timer
-        Timer of ``silent``; None before the job is sent.
-    is_settled
+    ack_timer
+        Timer of ``ack_timed_out``; None before the job is sent.
+    is_ended
         Whether the node is known to have ended the job: it has reported the
         outcome, or has closed the connection that was cancelled here.
     """
@@ -105,9 +105,9 @@
     offered_at: float
     connected_at: float | None = None
     acknowledged_at: float | None = None
-    silent: Deferred[None] = field(default_factory=Deferred)
-    silence_timer: Timer | None = None
-    is_settled: bool = False
+    ack_timed_out: Deferred[None] = field(default_factory=Deferred)
+    ack_timer: Timer | None = None
+    is_ended: bool = False
 
 
 @dataclass(slots=True)
@@ -187,11 +187,16 @@
     except CancelledError:
         if progress.connected_at is not None:
             client.reactor.callLater(
-                WITHDRAW_DELAY_S, _withdraw_unheard, client, job, host, progress
+                WITHDRAW_DELAY_S,
+                _withdraw_unless_ended,
+                client,
+                job,
+                host,
+                progress,
             )
         raise
     finally:
-        _cancel_timer(progress.silence_timer)
+        _cancel_timer(progress.ack_timer)
 
 
 async def _send_and_resolve(
@@ -230,12 +235,12 @@
 
     def on_connected() -> None:
         progress.connected_at = client.reactor.seconds()
-        progress.silence_timer = client.reactor.callLater(
-            ACKNOWLEDGE_TIMEOUT_S, progress.silent.callback, None
+        progress.ack_timer = client.reactor.callLater(
+            ACKNOWLEDGE_TIMEOUT_S, progress.ack_timed_out.callback, None
         )
 
     def on_acknowledged() -> None:
-        _cancel_timer(progress.silence_timer)
+        _cancel_timer(progress.ack_timer)
         if progress.acknowledged_at is None:
             progress.acknowledged_at = client.reactor.seconds()
             client.metrics.hop_acknowledgement.observe(
@@ -243,7 +248,7 @@
             )
 
     def on_closed() -> None:
-        progress.is_settled = True
+        progress.is_ended = True
 
     wait = TimedWait(
         client.reactor,
@@ -266,18 +271,18 @@
     client: HopClient, job: Job, host: str, progress: _HopProgress
 ) -> Outcome:
     """Query the outcome of a job that its node does not acknowledge."""
-    await progress.silent
+    await progress.ack_timed_out
     _log_lost_hop(client, job, progress, Reason.SILENT)
     outcome = await _resolve_fate(client, job, host, progress.offered_at)
-    progress.is_settled = outcome is not UNKNOWN_OUTCOME
+    progress.is_ended = outcome is not UNKNOWN_OUTCOME
     return outcome
 
 
-def _withdraw_unheard(
+def _withdraw_unless_ended(
     client: HopClient, job: Job, host: str, progress: _HopProgress
 ) -> None:
     """Withdraw a cancelled job unless its node is known to have ended it."""
-    if not progress.is_settled:
+    if not progress.is_ended:
         withdrawing = Deferred.fromCoroutine(
             _withdraw(client, job, host, progress.offered_at)
         )
@@ -297,7 +302,7 @@
             'withdrawn',
             request_id=job.request_id,
             target=job.target_id,
-            is_heard=known is not None,
+            is_acknowledged=known is not None,
         )
         if known is not None:
             return
--- a/marjoramlead/http_connection.py
+++ b/marjoramlead/http_connection.py
@@ -252,7 +252,7 @@
             self.transport.abortConnection()
 
     def _cancel(self, on_closed: OnClosed | None) -> None:
-        """Close the connection, which tells the server to stop.
+        """Close the connection, so that the server cancels the request.
 
         TCP retransmits a half-close until it is acknowledged, but sends a reset
         only once.
--- a/marjoramlead/incoming_body.py
+++ b/marjoramlead/incoming_body.py
@@ -21,11 +21,11 @@
 
 __all__ = ('IncomingBody',)
 
-# Time without a byte after which what was granted is taken to be no longer on
-# the link. Granted bytes keep the link busy for a third of it.
+# Time without a byte after which granted bytes no longer count against the
+# window of the link; three times ``body_grants.MAX_BACKLOG_S``.
 STALL_TIMEOUT_S: Final = 0.15
-# Time after that until the sender is taken to be gone. It allows for one lost
-# packet, which TCP retransmits after 200 ms.
+# Further time until the sender is considered unreachable. It allows for one
+# lost packet, which TCP retransmits after 200 ms.
 SENDER_TIMEOUT_S: Final = 0.35
 
 
@@ -54,7 +54,7 @@
         self._reactor = reactor
         self._chunks: list[bytes] = []
         self._received = 0
-        self._goal = 0
+        self._awaited_bytes = 0
         self._granted = 0
         self._refusal: Refusal | None = None
         self._waiter: Deferred[None] | None = None
@@ -69,13 +69,13 @@
         self._received += len(chunk)
         record_received(self._grants, self._number, self._received)
         self._watch_sender()
-        if self._received >= self._goal:
+        if self._received >= self._awaited_bytes:
             self._wake()
         grant_bytes(self._grants)
 
     async def receive_ahead(self) -> bytes | Refusal:
         """Receive all but the final part, as the link allows."""
-        self._goal = max(0, self.length - FINAL_PART_BYTES)
+        self._awaited_bytes = max(0, self.length - FINAL_PART_BYTES)
 
         def on_granted(end: int) -> None:
             self._granted = end
@@ -83,7 +83,11 @@
             self._watch_sender()
 
         add_body(
-            self._grants, self._number, self._goal, self._window, on_granted
+            self._grants,
+            self._number,
+            self._awaited_bytes,
+            self._window,
+            on_granted,
         )
         try:
             grant_bytes(self._grants)
@@ -94,14 +98,14 @@
 
     async def receive_end(self) -> bytes | Refusal:
         """Ask the sender for the final part, and return the whole body."""
-        self._goal = self.length
+        self._awaited_bytes = self.length
         self._granted = self.length
         self._req.send_continue()
         return await self._receive()
 
     async def _receive(self) -> bytes | Refusal:
         self._watch_sender()
-        if self._refusal is None and self._received < self._goal:
+        if self._refusal is None and self._received < self._awaited_bytes:
             self._waiter = Deferred()
             try:
                 await self._waiter
@@ -119,7 +123,7 @@
             )
 
     def _on_stall(self) -> None:
-        """Let others use the link, and wait for the sender a little longer."""
+        """Release the window of a stalled body until its sender times out."""
         self._timer = self._reactor.callLater(SENDER_TIMEOUT_S, self._fail)
         record_stall(self._grants, self._number)
         grant_bytes(self._grants)
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -59,12 +59,12 @@
 
     Attributes
     ----------
-    older_until
+    older_valid_until
         Requests received later must not be routed by an older version.
     """
 
     version: int
-    older_until: float
+    older_valid_until: float
 
 
 class TargetEntry(NamedTuple):
@@ -266,7 +266,7 @@
     """
     return next(
         (
-            each.older_until
+            each.older_valid_until
             for each in mesh_state.received_versions
             if each.version > version
         ),
@@ -383,15 +383,15 @@
     mesh_state: MeshState, table: RoutingTable, now: float
 ) -> None:
     if mesh_state.table is None or table.version > mesh_state.table.version:
-        older_until = now + OLD_TABLE_GRACE_S
+        older_valid_until = now + OLD_TABLE_GRACE_S
         if isfinite(mesh_state.unchanged_until):
-            older_until = min(
-                older_until, mesh_state.unchanged_until + CHANGE_BOUND_S
+            older_valid_until = min(
+                older_valid_until, mesh_state.unchanged_until + CHANGE_BOUND_S
             )
         mesh_state.table = table
         mesh_state.table_received_at = now
         mesh_state.received_versions.append(
-            VersionReceipt(table.version, older_until)
+            VersionReceipt(table.version, older_valid_until)
         )
 
 
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -119,7 +119,7 @@
 def _pending_body(
     gate: TargetGate, req: StreamRequest, terms: JobTerms
 ) -> PendingBody | None:
-    """Return the body if its sender waits to be told to send it."""
+    """Return the body if its sender withholds it until it is requested."""
     stream = req.body
     if not (expects_continue(req) and isinstance(stream, BodyStream)):
         return None
--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -215,7 +215,7 @@
     number
         Unique number of the request at this gate.
     pending_bytes
-        Length of the body if the sender waits to be told to send it.
+        Length of the body if the sender withholds it until it is requested.
     """
     refusal = _refuse_job(gate, job)
     if refusal is not None:
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -64,7 +64,7 @@
 
 
 class PendingBody(NamedTuple):
-    """A body that its sender sends when told to.
+    """A body that its sender withholds until it is requested.
 
     Attributes
     ----------
@@ -101,10 +101,10 @@
     job
         Request to run.
     read_body
-        Reads a body that its sender has sent without being told to; without
-        it, the body in ``job`` is used.
+        Reads a body that was sent with the request; without it, the body in
+        ``job`` is used.
     pending_body
-        Body that the sender sends when told to.
+        Body that the sender withholds until it is requested.
     """
     now = gate.reactor.seconds()
     attempt = attempt_id(job.request_id, job.attempt)
--- a/tests/test_callers_that_leave.py
+++ b/tests/test_callers_that_leave.py
@@ -1,8 +1,4 @@
-"""Requests whose callers leave are not run, and their runs are stopped.
-
-They guard against GONE: requests that reach a target half a second after their
-caller has left, and targets that are still at work on them.
-"""
+"""Requests whose callers disconnect are not started, and runs are cancelled."""
 
 from random import Random
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -54,7 +54,7 @@
     assert transport.producerState == 'paused'
 
 
-def test_close_is_heard_while_nobody_reads_the_body_of_a_request():
+def test_close_is_detected_while_nobody_reads_the_body_of_a_request():
     received_requests, closed = [], []
     channel, transport = connect(received_requests.append)
     channel.dataReceived(b'PUT /a HTTP/1.1\r\nContent-Length: 99\r\n\r\nabc')
--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -1,7 +1,4 @@
-"""Waits between two processes that have no bound or are not looked at again.
-
-Each test shows one finding of the review of issue 25.
-"""
+"""Timeouts and cancellation of requests between clients, nodes and targets."""
 
 import json
 
