Tests of a node that stops: a simulated exit drops what is not sent

Each node of the in-memory mesh now has an event loop of its own. When it stops, its ports and connections close, timers end, and bytes that the operating system had not accepted by the end of the previous step are dropped, as Twisted does. Until now a simulated stop dropped nothing, so no test could show a lost answer.

Requests on open connections were answered until the exit, and the exit does not wait for a client that never reads.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -81,6 +81,8 @@
         Time at which the target is warm, on the reactor's clock.
     probe_s
         Seconds until a health probe is answered.
+    body
+        Body of the responses; if empty, the id of the request.
     arrivals
         All requests in order of arrival, without probes.
     disconnected
@@ -94,6 +96,7 @@
     fault: str = ''
     cold_until: float = 0
     probe_s: float = 0
+    body: bytes = b''
     running: int = 0
     most_running: int = 0
     arrivals: list[Arrival] = field(default_factory=list)
@@ -184,7 +187,8 @@
         headers.setRawHeaders(b'X-Server-Seal', [b'seal'])
     status = 200 if succeeded and target.fault != 'error' else 500
     transport = req.channel.transport
-    req.send_response(BufferedResponse(status, headers, request_id.encode()))
+    body = target.body or request_id.encode()
+    req.send_response(BufferedResponse(status, headers, body))
     if target.fault == 'extra':
         raw = EXTRA_RESPONSE % request_id.encode()
         target.reactor.callLater(EXTRA_RESPONSE_DELAY_S, transport.write, raw)
--- a/tests/memory_net.py
+++ b/tests/memory_net.py
@@ -21,6 +21,8 @@
 
 STEP_S = 0.01
 SEGMENT_BYTES = 1500
+# Bytes that the operating system accepts before the receiver has read any.
+SEND_BUFFER_BYTES = 131_072
 
 
 @implementer(IPushProducer)
@@ -36,10 +38,14 @@
     is_aborted
         Whether the protocol has aborted the connection, and receives nothing
         but its close. What it has written before is still delivered.
+    sent_bytes
+        Written bytes that the operating system has accepted, and delivers
+        even if the process exits.
     """
 
     def __init__(self, protocol, *, is_server: bool) -> None:
         super().__init__(protocol, is_server)
+        self.sent_bytes = 0
         self.is_reading = True
         self.is_aborted = False
         self.is_write_closed = False
@@ -65,8 +71,24 @@
         """Remove and return the bytes that were written."""
         written = b''.join(self.stream)
         self.stream = []
+        self.sent_bytes = 0
         return written
 
+    def poll(self) -> None:
+        """Hand written bytes to the operating system, as the event loop does.
+
+        Bytes that are written in a step of the clock are handed over after it.
+        """
+        written = sum(map(len, self.stream))
+        self.sent_bytes = min(written, SEND_BUFFER_BYTES)
+
+    def exit_process(self) -> None:
+        """Close the connection, and drop what the process still holds."""
+        sent_bytes = self.sent_bytes
+        self.stream = [self.take()[:sent_bytes]]
+        self.is_aborted = True
+        self.disconnecting = True
+
     def report_close(self) -> None:
         """Tell the protocol that the connection is closed."""
         self.disconnecting = True
@@ -101,6 +123,9 @@
         Whether nothing that the server sends is delivered.
     link
         Link that carries the bytes of the client; None if it is not narrow.
+    client_host
+        Address of the host whose process has opened the connection; empty for
+        clients.
     """
 
     port: int
@@ -109,6 +134,7 @@
     is_silent: bool = False
     is_mute: bool = False
     link: Link | None = None
+    client_host: str = ''
 
 
 @dataclass
@@ -147,7 +173,7 @@
             pool,
         )
 
-    def open(self, port, factory):
+    def open(self, port, factory, client_host: str = ''):
         """Connect a client; fail if the port refuses or nothing listens."""
         if port in self.refusing_ports or port not in self.sites:
             return fail(error.ConnectionRefusedError())
@@ -160,6 +186,7 @@
             PausableTransport(client, is_server=False),
         )
         connection.link = self.links.get(port)
+        connection.client_host = client_host
         server.makeConnection(connection.server)
         self.connections.append(connection)
         delay = self.connect_delays.get(port)
@@ -180,6 +207,28 @@
                 for connection in self.connections
                 if not _is_closed(connection)
             ]
+        for connection in self.connections:
+            connection.server.poll()
+            connection.client.poll()
+
+    def exit_process(self, host: str, kept_port: int) -> None:
+        """Close the ports and connections of a host's process.
+
+        Parameters
+        ----------
+        host
+            Address of the host.
+        kept_port
+            Port of another process of the same host.
+        """
+        ports = [port for port in self.sites if _belongs(port, host, kept_port)]
+        for port in ports:
+            self.sites.pop(port)
+        for connection in self.connections:
+            if _belongs(connection.port, host, kept_port):
+                connection.server.exit_process()
+            if connection.client_host == host:
+                connection.client.exit_process()
 
     def advance(self, seconds: float) -> None:
         """Advance the clock in small steps, delivering bytes after each."""
@@ -320,5 +369,9 @@
     return False
 
 
+def _belongs(port, host: str, kept_port: int) -> bool:
+    return port[0] == host and port[1] != kept_port
+
+
 def _is_closed(connection: Connection) -> bool:
     return connection.client.disconnected and connection.server.disconnected
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -28,13 +28,33 @@
 BUDGET = MeshRetryBudgetConfig(ratio=0.2, slack=60, window_s=10)
 
 
-class MemoryReactor(Clock):
-    """A virtual clock whose ports are in memory."""
+@dataclass
+class HostReactor:
+    """The event loop of one host's node: its ports, on the common clock.
 
-    def __init__(self, net: MemoryNet) -> None:
-        super().__init__()
-        self.net = net
-        self.stopped = 0
+    Attributes
+    ----------
+    stopped_at
+        When the node has exited; None before that.
+    """
+
+    clock: Clock
+    net: MemoryNet
+    address: str
+    stopped_at: float | None = None
+
+    def seconds(self) -> float:
+        """Return the common time."""
+        return self.clock.seconds()
+
+    def callLater(self, delay, function, *arguments, **named):
+        """Call a function later, unless the node has exited by then."""
+
+        def call() -> None:
+            if self.stopped_at is None:
+                function(*arguments, **named)
+
+        return self.clock.callLater(delay, call)
 
     def listenTCP(self, port, factory, interface):
         """Accept connections at one address."""
@@ -42,8 +62,9 @@
         return MemoryPort(self.net, (interface, port))
 
     def stop(self) -> None:
-        """Count the nodes that have exited."""
-        self.stopped += 1
+        """Exit: close ports and connections, and drop what is not sent."""
+        self.stopped_at = self.seconds()
+        self.net.exit_process(self.address, TARGET)
 
 
 @dataclass
@@ -99,6 +120,12 @@
     data_centre: str
     sidecar: Sidecar
     target: TargetStandIn
+    reactor: HostReactor | None = None
+
+    @property
+    def has_exited(self) -> bool:
+        """Return whether the process of the node has exited."""
+        return self.reactor.stopped_at is not None
 
 
 @dataclass
@@ -111,7 +138,7 @@
     link_bytes_per_s: float = 125e6
 
     def __post_init__(self) -> None:
-        self.reactor = MemoryReactor(self.net)
+        self.reactor = Clock()
         self.net.clock = self.reactor
         self.store = StoreStandIn(self.reactor)
         self.net.sites[STORE] = make_site(
@@ -119,11 +146,12 @@
             self.reactor,
         )
 
-    def connect(self, _reactor, address, protocol):
+    def connect(self, reactor, address, protocol):
         """Connect in memory, or fail if the address refuses connections."""
         factory = Factory()
         factory.buildProtocol = lambda _address: protocol
-        return self.net.open(address, factory)
+        client_host = getattr(reactor, 'address', '')
+        return self.net.open(address, factory, client_host)
 
     def add_host(
         self, service: str, data_centre: str = 'a', **target_options
@@ -144,6 +172,7 @@
 
     def start(self, host: Host) -> None:
         """Start a new sidecar on a host, with an empty mesh state."""
+        host.reactor = HostReactor(self.reactor, self.net, host.address)
         sidecar_config = SidecarConfig(
             host=host.address,
             data_centre=host.data_centre,
@@ -165,14 +194,14 @@
             PLATFORM_HEADER_NAMES,
             decode_record,
             lambda metrics: PlatformStore(
-                self.reactor, STORE, metrics, self.connect
+                host.reactor, STORE, metrics, self.connect
             ),
             lambda: None,
             parent_request_id,
             self.connect,
         )
         rng = Random(f'{host.address}')
-        host.sidecar = build_sidecar(sidecar_config, self.reactor, adapter, rng)
+        host.sidecar = build_sidecar(sidecar_config, host.reactor, adapter, rng)
         start_sidecar(host.sidecar)
 
     def publish(
--- a/tests/test_platform_mesh.py
+++ b/tests/test_platform_mesh.py
@@ -329,14 +329,14 @@
     assert later.status == 200
     assert later.header(b'connection') == 'close'
     mesh.advance(3)
-    assert mesh.reactor.stopped
+    assert mesh.hosts[0].has_exited
 
 
 def test_shutdown_loses_no_request_of_another_node():
     mesh = ready_mesh('web', 'web')
     drain_sidecar(mesh.hosts[0].sidecar)
     sent = []
-    while not mesh.reactor.stopped:
+    while not mesh.hosts[0].has_exited:
         sent.append(mesh.send(mesh.hosts[1], '/once/x', method=b'POST'))
         mesh.advance(0.03)
     ports = [link.port for link in mesh.net.connections]
@@ -349,7 +349,7 @@
     mesh = ready_mesh('web', 'web')
     drain_sidecar(mesh.hosts[0].sidecar)
     sent = []
-    while not mesh.reactor.stopped:
+    while not mesh.hosts[0].has_exited:
         sent.append(mesh.send(mesh.hosts[0]))
         mesh.advance(0.1)
     assert {each.status for each in sent if each.sent_at < 3.7} == {200}
