Exit only once the connections are closed, so that answers are sent

Callers saw their connection close without an answer while a node was stopped (LOST). Cause: the node stopped its event loop at the first periodic check at which no request was in progress. A request counts as ended when its response is written; Twisted sends it in the next poll of the loop, and stopping the loop before that drops it. At the latest time to exit it was worse: deadlines of requests in flight were capped at that same moment, so the loop stopped before any of their answers existed.

Now a node that is done closes its ports and connections, each connection after its response, and stops the loop when the last one is closed, which is after the operating system has accepted all bytes.

The line 'stop' tells how many connections were still open.

--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -73,11 +73,14 @@
     ----------
     accept_until
         Time after which new client requests are refused.
+    answer_by
+        Time by which requests in flight are answered, whatever their deadline.
     exit_by
-        Time at which the node exits even if requests are in flight.
+        Time at which the node exits even if answers are not sent.
     """
 
     accept_until: float
+    answer_by: float
     exit_by: float
 
 
@@ -232,14 +235,15 @@
 ) -> Refusal | None:
     """Refuse a request that arrives too late in a shutdown.
 
-    The deadline of any other request is capped at the time of the exit.
+    The deadline of any other request is capped, so that it is answered before
+    the exit.
     """
     shutdown = frontend.shutdown
     if shutdown is None:
         return None
     if context.received_at > shutdown.accept_until:
         return Refusal(Reason.DRAINING, Verdict.NOT_RUN)
-    context.deadline = min(context.deadline, shutdown.exit_by)
+    context.deadline = min(context.deadline, shutdown.answer_by)
     return None
 
 
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -11,6 +11,7 @@
 from io import BytesIO
 from typing import Final, NamedTuple, Protocol, cast
 
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
@@ -151,7 +152,7 @@
         self.responseHeaders = response.headers
         length = str(len(response.body)).encode()
         self.responseHeaders.setRawHeaders(b'Content-Length', [length])
-        if not self._is_fully_received:
+        if self.channel.site.is_closing or not self._is_fully_received:
             self.channel.persistent = False
             self.responseHeaders.setRawHeaders(b'Connection', [b'close'])
         self.write(response.body)
@@ -243,9 +244,9 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Remove the connection and cancel its header timer."""
-        self.site.channels.discard(self)
         self._cancel_header_timer()
         super().connectionLost(reason)
+        self.site.remove_channel(self)
 
     def dataReceived(self, chunk: bytes) -> None:
         """Start the header timer at the first byte of a request."""
@@ -263,6 +264,12 @@
         self._cancel_header_timer()
         super().allHeadersReceived()
 
+    def requestDone(self, request: Request) -> None:
+        """Close the connection after the last response of a closing site."""
+        if self.site.is_closing:
+            self.persistent = False
+        super().requestDone(request)
+
     def read_request_line(self) -> _RequestLine:
         """Return the request line of a request whose body is yet to arrive."""
         return _RequestLine(
@@ -310,6 +317,8 @@
         Returns the limits in force.
     channels
         Open connections.
+    is_closing
+        Whether connections are closed after their next response.
     """
 
     def __init__(
@@ -326,6 +335,8 @@
         self.clock = reactor
         self.limits = limits
         self.channels: set[_StreamChannel] = set()
+        self.is_closing = False
+        self._all_closed: Deferred[None] = Deferred()
         self.protocol = self._build_channel  # type: ignore[method-assign, assignment]
 
     def log(self, request: Request) -> None:
@@ -337,6 +348,28 @@
             if not channel.requests:
                 channel.loseConnection()
 
+    def close(self) -> Deferred[None]:
+        """Close all connections once their responses have been sent.
+
+        Responses are sent when the operating system has accepted all bytes.
+
+        Returns
+        -------
+        Fires once all connections are closed.
+        """
+        self.is_closing = True
+        self.close_idle()
+        if not self.channels and not self._all_closed.called:
+            self._all_closed.callback(None)
+        return self._all_closed
+
+    def remove_channel(self, channel: '_StreamChannel') -> None:
+        """Remove a connection that is closed."""
+        self.channels.discard(channel)
+        is_last = self.is_closing and not self.channels
+        if is_last and not self._all_closed.called:
+            self._all_closed.callback(None)
+
     def _build_channel(self) -> _StreamChannel:
         channel = _StreamChannel()
         channel.handler = self._handler
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -20,6 +20,7 @@
     StreamRequest,
     make_site,
 )
+from marjoramlead.listeners import Listener, close_listeners
 from marjoramlead.mesh_state import expire_held_targets
 from marjoramlead.metrics import register_gauge
 from marjoramlead.peer_requests import handle_peer_request
@@ -62,9 +63,12 @@
 # idle connections are closed. Requests that they send later fail to connect,
 # instead of being lost in transit when the node exits.
 INBOUND_CLOSE_DELAY_S: Final = 2.3
+# Requests are answered this long before the termination grace period is over,
+# so that their answers are sent before the exit.
+ANSWER_MARGIN_S: Final = 0.8
 # The node exits this long before the termination grace period is over, because
 # the process takes a fraction of a second to end.
-EXIT_MARGIN_S: Final = 0.8
+EXIT_MARGIN_S: Final = 0.3
 
 
 def start_sidecar(sidecar: Sidecar) -> None:
@@ -76,7 +80,7 @@
         lambda req: _on_client_request(sidecar, req),
         lambda: _head_limits(sidecar),
     )
-    _listen_inbound(sidecar)
+    _listen(sidecar, config.inbound, lambda req: _on_peer_request(sidecar, req))
     _listen(
         sidecar, config.ready, lambda req: _answer_readiness_probe(sidecar, req)
     )
@@ -105,23 +109,15 @@
     limits: Callable[[], HeadLimits] = HeadLimits,
 ) -> None:
     site = make_site(handler, sidecar.reactor, limits)
-    sidecar.reactor.listenTCP(address[1], site, interface=address[0])
+    port = sidecar.reactor.listenTCP(address[1], site, interface=address[0])
+    sidecar.listeners[address] = Listener(port, site)
 
 
-def _listen_inbound(sidecar: Sidecar) -> None:
-    host, number = sidecar.config.inbound
-    site = make_site(
-        lambda req: _on_peer_request(sidecar, req),
-        sidecar.reactor,
-    )
-    port = sidecar.reactor.listenTCP(number, site, interface=host)
-
-    def close() -> None:
-        """Close the port and idle connections, so that no request is lost."""
-        port.stopListening()
-        site.close_idle()
-
-    sidecar.close_inbound = close
+def _close_inbound(sidecar: Sidecar) -> None:
+    """Close the port for other nodes, and its idle connections."""
+    port, site = sidecar.listeners[sidecar.config.inbound]
+    port.stopListening()
+    site.close_idle()
 
 
 def _head_limits(sidecar: Sidecar) -> HeadLimits:
@@ -232,7 +228,7 @@
         sidecar.next_reload_at = now + SETTINGS_CHECK_INTERVAL_S
         _reload_settings(sidecar)
     if sidecar.frontend.shutdown is not None:
-        _stop_when_idle(sidecar, sidecar.frontend.shutdown, now)
+        _close_when_idle(sidecar, sidecar.frontend.shutdown, now)
 
 
 def _reload_settings(sidecar: Sidecar) -> None:
@@ -272,34 +268,48 @@
 def drain_sidecar(sidecar: Sidecar) -> None:
     """Begin a graceful shutdown, unless one has already begun.
 
-    The node exits once all requests have ended, or shortly before the
-    termination grace period is over.
+    The node exits once all requests have ended and their answers are sent, or
+    shortly before the termination grace period is over.
     """
     if sidecar.frontend.shutdown is not None:
         return
     now = sidecar.reactor.seconds()
+    grace_ends = now + sidecar.config.termination_grace_s
     shutdown = ShutdownSchedule(
         now + CLIENT_DRAIN_DELAY_S,
-        now + sidecar.config.termination_grace_s - EXIT_MARGIN_S,
+        grace_ends - ANSWER_MARGIN_S,
+        grace_ends - EXIT_MARGIN_S,
     )
     sidecar.frontend.shutdown = shutdown
     start_feed_drain(sidecar.feed_server)
     sidecar.reactor.callLater(
         TARGET_DRAIN_DELAY_S, start_gate_drain, sidecar.gate
     )
-    sidecar.reactor.callLater(INBOUND_CLOSE_DELAY_S, sidecar.close_inbound)
+    sidecar.reactor.callLater(INBOUND_CLOSE_DELAY_S, _close_inbound, sidecar)
     emit('drain', in_flight=sidecar.frontend.in_flight)
 
 
-def _stop_when_idle(
-    sidecar: Sidecar, stop: ShutdownSchedule, now: float
+def _close_when_idle(
+    sidecar: Sidecar, shutdown: ShutdownSchedule, now: float
 ) -> None:
+    """Close all connections, then exit, once no request is in progress."""
     is_busy = sidecar.frontend.in_flight or sidecar.gate.tasks
-    is_drained = now >= stop.accept_until and not is_busy
-    if is_drained or now >= stop.exit_by:
-        emit(
-            'stop',
-            in_flight=sidecar.frontend.in_flight,
-            at_target=len(sidecar.gate.tasks),
+    earliest_close = shutdown.answer_by if is_busy else shutdown.accept_until
+    if now >= earliest_close and not sidecar.is_closing:
+        sidecar.is_closing = True
+        close_listeners(
+            list(sidecar.listeners.values()),
+            sidecar.reactor,
+            shutdown.exit_by,
+            lambda unsent: _stop(sidecar, unsent),
         )
-        sidecar.reactor.stop()
+
+
+def _stop(sidecar: Sidecar, unsent: int) -> None:
+    emit(
+        'stop',
+        in_flight=sidecar.frontend.in_flight,
+        at_target=len(sidecar.gate.tasks),
+        open_connections=unsent,
+    )
+    sidecar.reactor.stop()
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -19,6 +19,7 @@
 from marjoramlead.header_names import HeaderNames
 from marjoramlead.hop_client import HopClient
 from marjoramlead.ledger import AttemptLedger
+from marjoramlead.listeners import Listener
 from marjoramlead.mesh_retry_budget import MeshRetryBudget
 from marjoramlead.mesh_state import MeshState, RecordDecoder
 from marjoramlead.metrics import Metrics
@@ -75,18 +76,16 @@
     connect: Connect = connect_tcp
 
 
-def _close_nothing() -> None:
-    """Do nothing, because the inbound port is not open yet."""
-
-
 @dataclass(slots=True)
 class Sidecar:
     """The parts of one node.
 
     Attributes
     ----------
-    close_inbound
-        Closes the port for other nodes; does nothing before it is open.
+    listeners
+        Open ports by address.
+    is_closing
+        Whether the ports and connections are being closed before the exit.
     loops
         Calls that run periodically.
     feed_sources
@@ -106,7 +105,8 @@
     adapter: PlatformAdapter
     next_probe_at: float = 0
     next_reload_at: float = 0
-    close_inbound: Callable[[], None] = _close_nothing
+    listeners: dict[Address, Listener] = field(default_factory=dict)
+    is_closing: bool = False
     loops: list[LoopingCall] = field(default_factory=list)
     feed_sources: FeedAddresses = field(
         default_factory=lambda: FeedAddresses(None, [])
--- a/tests/memory_net.py
+++ b/tests/memory_net.py
@@ -82,6 +82,12 @@
         written = sum(map(len, self.stream))
         self.sent_bytes = min(written, SEND_BUFFER_BYTES)
 
+    @property
+    def is_sent(self) -> bool:
+        """Return whether the process holds no more bytes to be sent."""
+        written = sum(map(len, self.stream))
+        return self.is_aborted or written <= SEND_BUFFER_BYTES
+
     def exit_process(self) -> None:
         """Close the connection, and drop what the process still holds."""
         sent_bytes = self.sent_bytes
@@ -173,7 +179,7 @@
             pool,
         )
 
-    def open(self, port, factory, client_host: str = ''):
+    def open(self, port, factory):
         """Connect a client; fail if the port refuses or nothing listens."""
         if port in self.refusing_ports or port not in self.sites:
             return fail(error.ConnectionRefusedError())
@@ -186,7 +192,7 @@
             PausableTransport(client, is_server=False),
         )
         connection.link = self.links.get(port)
-        connection.client_host = client_host
+        connection.client_host = getattr(factory, 'client_host', '')
         server.makeConnection(connection.server)
         self.connections.append(connection)
         delay = self.connect_delays.get(port)
@@ -363,7 +369,7 @@
         server.report_close()
         return True
     for end in (server, client):
-        if end.disconnecting and not end.disconnected:
+        if end.disconnecting and end.is_sent and not end.disconnected:
             end.report_close()
             return True
     return False
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -150,8 +150,8 @@
         """Connect in memory, or fail if the address refuses connections."""
         factory = Factory()
         factory.buildProtocol = lambda _address: protocol
-        client_host = getattr(reactor, 'address', '')
-        return self.net.open(address, factory, client_host)
+        factory.client_host = getattr(reactor, 'address', '')
+        return self.net.open(address, factory)
 
     def add_host(
         self, service: str, data_centre: str = 'a', **target_options
