End requests from before a shutdown with an answer

Only requests received after SIGTERM had their deadlines capped at the time of the exit. One received before it, with a later deadline, had its connection closed without an answer. They are now cancelled 0.55 s before the end of the termination grace period and answered 504, may have run; the frontend keeps the requests in flight, not only their number.

tests/test_graceful_stop.py: the request from before the shutdown got no answer before this change.

--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -46,7 +46,12 @@
 from marjoramlead.upstream import HeaderList, Reply
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
-__all__ = ('ClientFrontend', 'ShutdownSchedule', 'handle_client_request')
+__all__ = (
+    'ClientFrontend',
+    'ShutdownSchedule',
+    'end_requests',
+    'handle_client_request',
+)
 
 MS_PER_SECOND: Final = 1000
 # Timeout of a request without a valid ``HeaderNames.wait_ms`` header.
@@ -91,7 +96,7 @@
     Attributes
     ----------
     in_flight
-        Number of requests without a final answer.
+        Requests without a final answer.
     buffered_bytes
         Total size of the request bodies in memory.
     shutdown
@@ -105,7 +110,9 @@
     header_names: HeaderNames
     round_robin: RoundRobinState
     parent_request_id: Callable[[str], str]
-    in_flight: int = 0
+    in_flight: dict[StreamRequest, Deferred[Outcome]] = field(
+        default_factory=dict
+    )
     buffered_bytes: int = 0
     shutdown: ShutdownSchedule | None = None
     recent_refusals: RecentRefusals = field(default_factory=RecentRefusals)
@@ -144,13 +151,13 @@
 def handle_client_request(frontend: ClientFrontend, req: StreamRequest) -> None:
     """Serve one client request; failures are answered, never raised."""
     now = frontend.dispatcher.reactor.seconds()
-    frontend.in_flight += 1
     context = _RequestContext(
         _header(req, frontend.header_names.request_id),
         now,
         (req.method, _header(req, b'host'), req.uri),
     )
     served = Deferred.fromCoroutine(_serve(frontend, req, context))
+    frontend.in_flight[req] = served
     req.notifyFinish().addErrback(lambda _gone: served.cancel())
     served.addCallbacks(
         lambda outcome: _send_response(frontend, req, context, outcome),
@@ -159,6 +166,12 @@
     served.addErrback(lambda failure: emit('bug', error=str(failure)))
 
 
+def end_requests(frontend: ClientFrontend) -> None:
+    """Answer all requests in flight, because the node exits soon."""
+    for served in list(frontend.in_flight.values()):
+        served.cancel()
+
+
 async def _serve(
     frontend: ClientFrontend,
     req: StreamRequest,
@@ -360,7 +373,7 @@
     context: _RequestContext,
     outcome: Outcome,
 ) -> None:
-    frontend.in_flight -= 1
+    frontend.in_flight.pop(req)
     if isinstance(outcome, Reply):
         response = response_from_reply(outcome)
         _record_outcome(frontend, context, 'answered', str(outcome.status))
@@ -435,11 +448,14 @@
     failure: Failure,
 ) -> None:
     if failure.check(CancelledError) and req.is_disconnected:
-        frontend.in_flight -= 1
+        frontend.in_flight.pop(req)
         _record_outcome(frontend, context, 'left', Reason.CALLER_GONE.value)
         return
-    emit('bug', request_id=context.request_id, error=failure.getTraceback())
-    refusal = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, 0)
+    if failure.check(CancelledError) and frontend.shutdown is not None:
+        refusal = Refusal(Reason.TIMEOUT, Verdict.MAY_HAVE_RUN, 0)
+    else:
+        emit('bug', request_id=context.request_id, error=failure.getTraceback())
+        refusal = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, 0)
     _send_response(frontend, req, context, refusal)
 
 
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -10,7 +10,11 @@
 from twisted.web.http_headers import Headers
 
 from marjoramlead.address import Address
-from marjoramlead.client_requests import ShutdownSchedule, handle_client_request
+from marjoramlead.client_requests import (
+    ShutdownSchedule,
+    end_requests,
+    handle_client_request,
+)
 from marjoramlead.events import emit
 from marjoramlead.feed_server import start_feed_drain
 from marjoramlead.generated.sidecar_status_types import SidecarStatus
@@ -66,6 +70,9 @@
 # Requests are answered this long before the termination grace period is over,
 # so that their answers are sent before the exit.
 ANSWER_MARGIN_S: Final = 0.8
+# Requests that are still in flight then, because they were received before the
+# shutdown and their deadlines are later, are ended with an answer.
+CANCEL_MARGIN_S: Final = 0.55
 # The node exits this long before the termination grace period is over, because
 # the process takes a fraction of a second to end.
 EXIT_MARGIN_S: Final = 0.3
@@ -286,7 +293,12 @@
         TARGET_DRAIN_DELAY_S, start_gate_drain, sidecar.gate
     )
     sidecar.reactor.callLater(INBOUND_CLOSE_DELAY_S, _close_inbound, sidecar)
-    emit('drain', in_flight=sidecar.frontend.in_flight)
+    sidecar.reactor.callLater(
+        sidecar.config.termination_grace_s - CANCEL_MARGIN_S,
+        end_requests,
+        sidecar.frontend,
+    )
+    emit('drain', in_flight=len(sidecar.frontend.in_flight))
 
 
 def _close_when_idle(
@@ -308,7 +320,7 @@
 def _stop(sidecar: Sidecar, unsent: int) -> None:
     emit(
         'stop',
-        in_flight=sidecar.frontend.in_flight,
+        in_flight=len(sidecar.frontend.in_flight),
         at_target=len(sidecar.gate.tasks),
         open_connections=unsent,
     )
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -64,6 +64,20 @@
     assert sent.status == 504
 
 
+def test_request_from_before_the_shutdown_is_answered_before_the_exit():
+    mesh = ready_mesh('api', 'web')
+    host = mesh.hosts[0]
+    mesh.hosts[1].target.fault = 'silent'
+    mesh.configure(2, routes=[route('slow', 'safe', 'web', timeout='9000ms')])
+    mesh.advance(1)
+    sent = mesh.send(host, '/slow/x', wait_ms=9000)
+    mesh.advance(STEP_S)
+    drain_sidecar(host.sidecar)
+    mesh.advance(GRACE_S)
+    assert host.has_exited
+    assert sent.status == 504
+
+
 def test_long_response_to_a_slow_client_is_complete_before_the_exit():
     mesh, host = draining_mesh()
     mesh.hosts[1].target.body = BIG_BODY
