Daemon: exit only once the connections are closed

The daemon of the first interface had the same fault as the node on the users' platform: it stopped its loop as soon as no request was in progress, and dropped responses that were written and not sent. It now closes its ports and connections with listeners.close_listeners, and waits up to a second for them.

--- a/marjoramlead/daemon.py
+++ b/marjoramlead/daemon.py
@@ -1,7 +1,7 @@
 """Run a node: gateway, guard and config agent in one event loop."""
 
 import signal
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 from typing import Final
 
@@ -23,6 +23,7 @@
 from marjoramlead.http_client import make_agent
 from marjoramlead.http_server import Handler, StreamRequest, make_site
 from marjoramlead.key_replicas import KeyLedger
+from marjoramlead.listeners import Listener, close_listeners
 from marjoramlead.logs import daemon_log
 from marjoramlead.peers import NodeIdentity
 from marjoramlead.picking import TargetStates
@@ -32,22 +33,31 @@
     start_restart_monitor,
     suspect_restart,
 )
-from marjoramlead.snapshot import Snapshot
 from marjoramlead.status import node_status
 
-__all__ = ('Node', 'build_node', 'start_node')
+__all__ = ('Node', 'build_node', 'close_when_idle', 'start_node')
 
 MAX_IDLE_PEER_CONNECTIONS: Final = 16
 MAX_IDLE_TARGET_CONNECTIONS: Final = 64
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 # Minimum drain time, in which callers are refused and turn to other nodes.
 MIN_DRAIN_S: Final = 0.5
+# Longest time in which the last responses may be sent before the exit.
+MAX_SEND_S: Final = 1.0
 MS_PER_SECOND: Final = 1000
 
 
 @dataclass(slots=True)
 class Node:
-    """The components of one node."""
+    """The components of one node.
+
+    Attributes
+    ----------
+    listeners
+        Open ports.
+    is_closing
+        Whether the ports and connections are being closed before the exit.
+    """
 
     settings: SettingsDocument
     reactor: Reactor
@@ -56,6 +66,8 @@
     guard: Guard
     driver: Driver
     restart_monitor: RestartMonitor
+    listeners: list[Listener] = field(default_factory=list)
+    is_closing: bool = False
 
 
 def build_node(settings: SettingsDocument, reactor: Reactor) -> Node:
@@ -63,13 +75,10 @@
     counters = Counters(_build_statsd_client(settings))
     agent = Agent(_build_identity(settings), Random(), counters)
 
-    def current_snapshot() -> Snapshot:
-        return agent.store.snapshot
-
     peer_client = make_agent(reactor, MAX_IDLE_PEER_CONNECTIONS)
     gateway = Gateway(
         RoutingContext(settings['data_centre'], TargetStates(), Random()),
-        current_snapshot,
+        lambda: agent.store.snapshot,
         peer_client,
         reactor,
         counters,
@@ -82,7 +91,7 @@
         settings['host'],
         settings['data_centre'],
         settings['target'],
-        current_snapshot,
+        lambda: agent.store.snapshot,
         make_agent(reactor, MAX_IDLE_TARGET_CONNECTIONS, on_connection_close),
         peer_client,
         reactor,
@@ -121,7 +130,8 @@
     }
     for port, handler in handlers.items():
         site = make_site(handler, node.reactor)
-        node.reactor.listenTCP(port, site, interface=address)
+        listening = node.reactor.listenTCP(port, site, interface=address)
+        node.listeners.append(Listener(listening, site))
     start_periodic_ticks(node.driver)
     start_restart_monitor(node.restart_monitor)
     _install_signal_handlers(node)
@@ -144,7 +154,7 @@
     node.gateway.is_draining = True
     now = node.reactor.seconds()
     idle_check = LoopingCall(
-        _stop_when_idle,
+        close_when_idle,
         node,
         now + MIN_DRAIN_S,
         now + _drain_limit_s(node),
@@ -152,20 +162,47 @@
     idle_check.start(DRAIN_POLL_INTERVAL_S)
 
 
-def _stop_when_idle(
+def close_when_idle(
     node: Node,
     earliest_stop: float,
     latest_stop: float,
 ) -> None:
+    """Close all connections, then exit, once no request is in progress.
+
+    Parameters
+    ----------
+    node
+        Node to stop.
+    earliest_stop, latest_stop
+        Times before which it keeps its ports open, and after which it no
+        longer waits for requests.
+    """
     now = node.reactor.seconds()
     admission = node.guard.admission
     is_busy = node.gateway.in_flight or admission.running
-    if now < latest_stop and (is_busy or now < earliest_stop):
+    is_early = now < latest_stop and (is_busy or now < earliest_stop)
+    if is_early or node.is_closing:
         return
     if is_busy:
         daemon_log.warning(
             'Drain limit reached; stopping with requests in flight.',
         )
+    node.is_closing = True
+    deadline = now + MAX_SEND_S
+    close_listeners(
+        node.listeners,
+        node.reactor,
+        deadline,
+        lambda unsent: _stop(node, unsent),
+    )
+
+
+def _stop(node: Node, unsent: int) -> None:
+    if unsent:
+        daemon_log.warning(
+            'Stopping with %d open connections whose clients do not read.',
+            unsent,
+        )
     daemon_log.info('Node %s stopped.', node.settings['host'])
     node.driver.port.close()
     node.reactor.stop()
