Apply the idle limit in force to each idle period

The keep-alive timeout was set once a connection, when it was opened, to a whole number of seconds. A connection opened under 5 s and idle under 15 s was closed after 5 s, while its client may still reuse it; a limit of 1.9 s was 1 s. A connection whose first request had a body had no timeout at all, and the timeout also ended a request whose head had begun.

Each idle period now starts with the limit in force and is prolonged if a longer one comes into force. It ends when a request begins; the time for the headers counts from there. A shorter limit holds from the next idle period on, as the client may not know it yet.

--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -18,6 +18,11 @@
 
 from marjoramlead.bodies import MAX_UNREAD_BYTES, BodyStream
 from marjoramlead.clock import Clock, Timer
+from marjoramlead.connection_timers import (
+    IDLE_TIMEOUT_S,
+    ConnectionTimers,
+    HeadLimits,
+)
 from marjoramlead.headers import BODY_GRANTED
 from marjoramlead.problems import BufferedResponse
 
@@ -32,7 +37,6 @@
 )
 
 MAX_DISCARDED_BYTES: Final = 1_000_000
-IDLE_TIMEOUT_S: Final = 75.0
 EXPECT_HEADER: Final = b'Expect'
 
 
@@ -83,7 +87,6 @@
         self.uri = request_line.uri
         self.clientproto = request_line.version
         self.body = BodyStream(self.channel.transport, length)
-        self.channel.setTimeout(None)
         self.channel.handler(self)
 
     def handleContentChunk(self, chunk: bytes) -> None:
@@ -193,26 +196,6 @@
     return req.body is not None and bool(expect)
 
 
-class HeadLimits(NamedTuple):
-    """Limits on request heads and on idle connections.
-
-    Attributes
-    ----------
-    header_bytes
-        Maximum size of all header lines together.
-    header_s
-        Maximum time from the first byte of a request to the end of its
-        headers, in seconds.
-    idle_s
-        Keep-alive timeout: maximum time without a byte between two requests,
-        in seconds.
-    """
-
-    header_bytes: int = 16_384
-    header_s: float = 75.0
-    idle_s: float = IDLE_TIMEOUT_S
-
-
 class _RequestLine(NamedTuple):
     method: bytes
     uri: bytes
@@ -226,6 +209,7 @@
     requestFactory = StreamRequest  # type: ignore[assignment]  # noqa: WPS115  # overrides
     handler: Handler
     site: 'StreamSite'
+    timers: ConnectionTimers
     transport: Transport  # type: ignore[assignment]  # always TCP
     # Bytes of later requests that are kept before reading stops. While it is
     # stopped, the close of the connection is not detected.
@@ -236,20 +220,23 @@
         self._header_timer: Timer | None = None
 
     def connectionMade(self) -> None:
-        """Register the connection and set its keep-alive timeout."""
-        self.timeOut = int(self.site.limits().idle_s)
+        """Register the connection and start its keep-alive timeout."""
+        self.timeOut = None
         super().connectionMade()
         self.site.channels.add(self)
+        self.timers.start_idle_period()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """Remove the connection and cancel its header timer."""
+        """Remove the connection and cancel its timers."""
         self.site.channels.discard(self)
+        self.timers.cancel()
         self._cancel_header_timer()
         super().connectionLost(reason)
 
     def dataReceived(self, chunk: bytes) -> None:
         """Start the header timer at the first byte of a request."""
         if self._header_timer is None and not self.requests:
+            self.timers.cancel()
             limits = self.site.limits()
             self.totalHeadersSize = limits.header_bytes
             self._header_timer = self.site.clock.callLater(
@@ -259,10 +246,17 @@
         super().dataReceived(chunk)
 
     def allHeadersReceived(self) -> None:
-        """Cancel the header timer."""
+        """Cancel the header timer and the keep-alive timeout."""
+        self.timers.cancel()
         self._cancel_header_timer()
         super().allHeadersReceived()
 
+    def requestDone(self, request: Request) -> None:
+        """Start the keep-alive timeout, unless another request waits."""
+        super().requestDone(request)
+        if self.persistent and not self.requests:
+            self.timers.start_idle_period()
+
     def read_request_line(self) -> _RequestLine:
         """Return the request line of a request whose body is yet to arrive."""
         return _RequestLine(
@@ -341,4 +335,7 @@
         channel = _StreamChannel()
         channel.handler = self._handler
         channel.site = self
+        channel.timers = ConnectionTimers(
+            self.clock, self.limits, channel.timeoutConnection
+        )
         return channel
--- /dev/null
+++ b/tests/test_connection_ends.py
@@ -0,0 +1,99 @@
+"""Ends of a client's connection, other than the stop of the node."""
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from marjoramlead.body_reader import collect_body
+from marjoramlead.http_server import HeadLimits, make_site
+from marjoramlead.problems import json_response
+
+GET = b'GET /a HTTP/1.1\r\n\r\n'
+POST = b'POST /a HTTP/1.1\r\nContent-Length: 1\r\n\r\nx'
+
+
+def answer(req):
+    """Answer a request once its body has arrived."""
+    if req.body is None:
+        req.send_response(json_response(200, 1))
+        return
+    collecting = Deferred.fromCoroutine(collect_body(req.body))
+    collecting.addCallback(
+        lambda _body: req.send_response(json_response(200, 1))
+    )
+
+
+class Peer:
+    """A client's end of a connection whose limits may change."""
+
+    def __init__(self, handler=answer, **limits) -> None:
+        self.clock = Clock()
+        self.limits = HeadLimits(**limits)
+        site = make_site(handler, self.clock, lambda: self.limits)
+        self.channel = site.buildProtocol(None)
+        self.transport = StringTransport(lenient=True)
+        self.channel.makeConnection(self.transport)
+
+    @property
+    def is_closed(self):
+        return self.transport.disconnecting
+
+    @property
+    def received(self):
+        return self.transport.value()
+
+    def send(self, chunk):
+        if chunk:
+            self.channel.dataReceived(chunk)
+
+    def closes_after(self, seconds):
+        """Return whether the server closes then, but not a second before."""
+        self.clock.advance(seconds - 1)
+        was_open = not self.is_closed
+        self.clock.advance(1)
+        return was_open and self.is_closed
+
+
+@pytest.mark.parametrize('sent', [b'', GET, POST, POST + GET])
+def test_idle_connection_is_not_closed_before_a_limit_that_was_raised(sent):
+    peer = Peer(idle_s=5)
+    peer.send(sent)
+    peer.clock.advance(3)
+    peer.limits = HeadLimits(idle_s=15)
+    assert peer.closes_after(12)
+
+
+@pytest.mark.parametrize('sent', [GET, POST])
+def test_idle_limit_in_force_applies_after_each_request(sent):
+    peer = Peer(idle_s=15)
+    peer.send(GET)
+    peer.limits = HeadLimits(idle_s=5)
+    peer.clock.advance(10)
+    peer.send(sent)
+    assert peer.closes_after(5)
+
+
+def test_idle_limit_is_not_cut_to_whole_seconds():
+    peer = Peer(idle_s=1.9)
+    peer.send(GET)
+    peer.clock.advance(1.8)
+    assert not peer.is_closed
+    peer.clock.advance(0.2)
+    assert peer.is_closed
+
+
+def test_connection_whose_first_request_has_a_body_is_closed_when_idle():
+    peer = Peer(idle_s=15)
+    peer.send(POST)
+    assert peer.closes_after(15)
+
+
+def test_idle_limit_does_not_end_a_request_that_has_begun():
+    peer = Peer(idle_s=5)
+    peer.clock.advance(4)
+    peer.send(GET[:-2])
+    peer.clock.advance(6)
+    peer.send(GET[-2:])
+    assert not peer.is_closed
+    assert peer.received.startswith(b'HTTP/1.1 200 ')
