Close kept connections of other nodes before the port that answers for them

Callers saw 504 for requests that no node had read, each within 70 ms of a node's stop. Cause: 2.3 s after SIGTERM a node closed the connections that other nodes keep, together with the port. The sender of a request that crosses that close queries its outcome, finds no port, and must assume that the request may have run.

Kept connections are now closed when the queue of the local target is, 1.5 s after SIGTERM, from when on answers ask senders to close. The port stays open for 0.8 s, longer than a sender waits for an acknowledgement (0.4 s), and answers that such a request was never seen; it goes to another target. New connections, whose first request is on its way, stay open and are answered.

--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -207,6 +207,14 @@
 
 
 class _StreamChannel(HTTPChannel):
+    """A connection of a client.
+
+    Attributes
+    ----------
+    is_used
+        Whether it has carried a request.
+    """
+
     requestFactory = StreamRequest  # type: ignore[assignment]  # noqa: WPS115  # overrides
     handler: Handler
     site: 'StreamSite'
@@ -219,6 +227,7 @@
     def __init__(self) -> None:
         super().__init__()
         self._header_timer: Timer | None = None
+        self.is_used = False
 
     def connectionMade(self) -> None:
         """Register the connection and start its keep-alive timeout."""
@@ -248,6 +257,7 @@
 
     def allHeadersReceived(self) -> None:
         """Cancel the header timer and the keep-alive timeout."""
+        self.is_used = True
         self.timers.cancel()
         self._cancel_header_timer()
         super().allHeadersReceived()
@@ -336,9 +346,12 @@
         """Write no access log; requests are counted instead."""
 
     def close_idle(self) -> None:
-        """Close the connections that have no request in progress."""
+        """Close the connections that are kept for further requests.
+
+        A new connection stays open, because its first request is on its way.
+        """
         for channel in list(self.channels):
-            if not channel.requests:
+            if channel.is_used and not channel.requests:
                 channel.loseConnection()
 
     def close(self) -> Deferred[None]:
@@ -351,7 +364,9 @@
         Fires once all connections are closed.
         """
         self.is_closing = True
-        self.close_idle()
+        for channel in list(self.channels):
+            if not channel.requests:
+                channel.loseConnection()
         if not self.channels and not self._all_closed.called:
             self._all_closed.callback(None)
         return self._all_closed
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -63,9 +63,11 @@
 # It is shorter than CLIENT_DRAIN_DELAY_S, so that requests of other nodes end
 # before the clients of this host are gone.
 TARGET_DRAIN_DELAY_S: Final = 1.5
-# Time from the start of a shutdown until the port for other nodes and their
-# idle connections are closed. Requests that they send later fail to connect,
-# instead of being lost in transit when the node exits.
+# Time from the start of a shutdown until the port for other nodes is closed.
+# Requests that they send later fail to connect, instead of being lost in
+# transit when the node exits. Connections that other nodes keep are closed with
+# the queue of the local target, so that the outcome of a request that crosses
+# that close can be queried at this port.
 INBOUND_CLOSE_DELAY_S: Final = 2.3
 # Requests are answered this long before the termination grace period is over,
 # so that their answers are sent before the exit.
@@ -120,11 +122,10 @@
     sidecar.listeners[address] = Listener(port, site)
 
 
-def _close_inbound(sidecar: Sidecar) -> None:
-    """Close the port for other nodes, and its idle connections."""
-    port, site = sidecar.listeners[sidecar.config.inbound]
-    port.stopListening()
-    site.close_idle()
+def _drain_target(sidecar: Sidecar) -> None:
+    """Accept no more requests of other nodes."""
+    start_gate_drain(sidecar.gate)
+    sidecar.listeners[sidecar.config.inbound].site.close_idle()
 
 
 def _head_limits(sidecar: Sidecar) -> HeadLimits:
@@ -289,10 +290,9 @@
     )
     sidecar.frontend.shutdown = shutdown
     start_feed_drain(sidecar.feed_server)
-    sidecar.reactor.callLater(
-        TARGET_DRAIN_DELAY_S, start_gate_drain, sidecar.gate
-    )
-    sidecar.reactor.callLater(INBOUND_CLOSE_DELAY_S, _close_inbound, sidecar)
+    sidecar.reactor.callLater(TARGET_DRAIN_DELAY_S, _drain_target, sidecar)
+    inbound_port = sidecar.listeners[sidecar.config.inbound].port
+    sidecar.reactor.callLater(INBOUND_CLOSE_DELAY_S, inbound_port.stopListening)
     sidecar.reactor.callLater(
         sidecar.config.termination_grace_s - CANCEL_MARGIN_S,
         end_requests,
