Exit only once the ports are closed

Cause: a Twisted port closes in the next iteration of the loop; it was stopped before that, and a port that has left the loop is not closed by its end. It took connections until the interpreter had ended, and reset them.

The exit now waits for the ports, too. tests/test_listeners.py: the process that exits before its port is closed fails without the change.

--- a/marjoramlead/listeners.py
+++ b/marjoramlead/listeners.py
@@ -2,13 +2,15 @@
 
 A process that stops its event loop drops the bytes that it has written and
 that the operating system has not accepted yet. So it first closes its
-connections, which sends them.
+connections, which sends them. Ports close in the next iteration of the loop;
+one that is still open when the loop stops takes connections until the process
+has ended, and resets them then.
 """
 
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from twisted.internet.defer import DeferredList
+from twisted.internet.defer import DeferredList, maybeDeferred
 
 from marjoramlead.clock import Clock, ListeningPort
 from marjoramlead.http_server import StreamSite
@@ -51,7 +53,10 @@
 
     left_s = max(0, deadline - reactor.seconds())
     timer = reactor.callLater(left_s, end)
-    for port, _site in listeners:
-        port.stopListening()
-    closed = DeferredList([each.site.close() for each in listeners])
+    closed = DeferredList(
+        [
+            *(maybeDeferred(each.port.stopListening) for each in listeners),
+            *(each.site.close() for each in listeners),
+        ]
+    )
     closed.addCallback(lambda _results: end() if timer.active() else None)
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+from twisted.internet.defer import Deferred
 
 from marjoramlead.http_server import make_site
 from marjoramlead.listeners import Listener, close_listeners
@@ -40,23 +41,36 @@
 
 
 class FakePort:
-    """A listening port that records that it is closed."""
+    """A listening port that closes when the test says so."""
 
     def __init__(self):
-        self.is_closed = False
+        self.closed = Deferred()
 
     def stopListening(self):
-        """Close the port."""
-        self.is_closed = True
+        """Return when the port is closed."""
+        return self.closed
 
 
-def test_closing_without_connections_ends_at_once():
+def test_process_exits_only_once_its_ports_are_closed():
     net = MemoryNet()
     port = FakePort()
     ended = []
     listener = Listener(port, make_site(lambda _req: None, net.clock))
-    close_listeners([listener, listener], net.clock, 5, ended.append)
-    assert port.is_closed
+    close_listeners([listener], net.clock, 5, ended.append)
+    net.advance(1)
+    assert not ended
+    port.closed.callback(None)
     assert ended == [0]
-    net.advance(6)
+    net.advance(5)
+    assert ended == [0]
+
+
+def test_process_exits_at_the_deadline_if_a_port_does_not_close():
+    net = MemoryNet()
+    ended = []
+    listener = Listener(FakePort(), make_site(lambda _req: None, net.clock))
+    close_listeners([listener], net.clock, 5, ended.append)
+    net.advance(4.9)
+    assert not ended
+    net.advance(0.2)
     assert ended == [0]
