--- a/marjoramlead/clock.py
+++ b/marjoramlead/clock.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from twisted.internet.defer import Deferred
+
 __all__ = ('Clock', 'ListeningPort', 'Reactor', 'Timer')
 
 
@@ -40,8 +42,13 @@
 class ListeningPort(Protocol):
     """A TCP port that accepts connections."""
 
-    def stopListening(self) -> object:
-        """Stop accepting connections; open connections stay open."""
+    def stopListening(self) -> Deferred[None] | None:
+        """Stop accepting connections; open connections stay open.
+
+        Returns
+        -------
+        Fires when the port is closed.
+        """
 
 
 class Reactor(Clock, Protocol):
--- a/marjoramlead/listeners.py
+++ b/marjoramlead/listeners.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from twisted.internet.defer import DeferredList, maybeDeferred
+from twisted.internet.defer import Deferred, DeferredList, maybeDeferred
 
 from marjoramlead.clock import Clock, ListeningPort
 from marjoramlead.http_server import StreamSite
@@ -53,10 +53,10 @@
 
     left_s = max(0, deadline - reactor.seconds())
     timer = reactor.callLater(left_s, end)
-    closed = DeferredList(
-        [
-            *(maybeDeferred(each.port.stopListening) for each in listeners),
-            *(each.site.close() for each in listeners),
-        ]
+    closing: list[Deferred[None]] = [
+        *(maybeDeferred(each.port.stopListening) for each in listeners),
+        *(each.site.close() for each in listeners),
+    ]
+    DeferredList(closing).addCallback(
+        lambda _results: end() if timer.active() else None
     )
-    closed.addCallback(lambda _results: end() if timer.active() else None)
