Time the head of a request from its first line, wherever that arrives

An empty line after a request, which some clients send, started the timeout of the headers on an idle connection: it was closed after 3 s of the 15 s that its client may stay idle. A head that began in the same chunk as a request that was answered at once had no timeout. The timeout was never left running for a head that had arrived whole (a new test plays each split of a pipelined request).

--- a/marjoramlead/connection_timers.py
+++ b/marjoramlead/connection_timers.py
@@ -31,7 +31,7 @@
 
 
 class ConnectionTimers:
-    """Timer of a connection between two requests.
+    """Timer of a connection that is idle or receives the head of a request.
 
     Parameters
     ----------
@@ -41,6 +41,8 @@
         Returns the limits in force.
     on_idle
         Called at the end of the keep-alive timeout.
+    on_slow_head
+        Called if the head of a request does not arrive in time.
     """
 
     def __init__(
@@ -48,11 +50,14 @@
         clock: Clock,
         limits: Callable[[], HeadLimits],
         on_idle: Callable[[], None],
+        on_slow_head: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._limits = limits
         self._on_idle = on_idle
+        self._on_slow_head = on_slow_head
         self._timer: Timer | None = None
+        self._is_reading_head = False
         self._idle_since = clock.seconds()
 
     def start_idle_period(self) -> None:
@@ -60,8 +65,15 @@
         self._idle_since = self._clock.seconds()
         self._set_timer(self._limits().idle_s, self._check_idle)
 
+    def start_head(self) -> None:
+        """Start the timeout of a head, unless it is running."""
+        if not self._is_reading_head:
+            self._set_timer(self._limits().header_s, self._on_slow_head)
+            self._is_reading_head = True
+
     def cancel(self) -> None:
         """Cancel the timer."""
+        self._is_reading_head = False
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._timer = None
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -17,7 +17,7 @@
 from twisted.web.http import HTTPChannel, HTTPFactory, Request
 
 from marjoramlead.bodies import MAX_UNREAD_BYTES, BodyStream
-from marjoramlead.clock import Clock, Timer
+from marjoramlead.clock import Clock
 from marjoramlead.connection_timers import (
     IDLE_TIMEOUT_S,
     ConnectionTimers,
@@ -215,10 +215,6 @@
     # stopped, the close of the connection is not detected.
     _optimisticEagerReadSize = MAX_UNREAD_BYTES  # noqa: WPS115  # overrides
 
-    def __init__(self) -> None:
-        super().__init__()
-        self._header_timer: Timer | None = None
-
     def connectionMade(self) -> None:
         """Register the connection and start its keep-alive timeout."""
         self.timeOut = None
@@ -230,31 +226,26 @@
         """Remove the connection and cancel its timers."""
         self.site.channels.discard(self)
         self.timers.cancel()
-        self._cancel_header_timer()
         super().connectionLost(reason)
 
     def dataReceived(self, chunk: bytes) -> None:
-        """Start the header timer at the first byte of a request."""
-        if self._header_timer is None and not self.requests:
-            self.timers.cancel()
-            limits = self.site.limits()
-            self.totalHeadersSize = limits.header_bytes
-            self._header_timer = self.site.clock.callLater(
-                limits.header_s,
-                self.loseConnection,
-            )
+        """Start the timeout of a head that has not arrived whole."""
+        if not self.requests:
+            self.totalHeadersSize = self.site.limits().header_bytes
         super().dataReceived(chunk)
+        if self._has_part_of_head():
+            self.timers.start_head()
 
     def allHeadersReceived(self) -> None:
-        """Cancel the header timer and the keep-alive timeout."""
+        """Cancel the timeout of the head and the keep-alive timeout."""
         self.timers.cancel()
-        self._cancel_header_timer()
         super().allHeadersReceived()
 
     def requestDone(self, request: Request) -> None:
-        """Start the keep-alive timeout, unless another request waits."""
+        """Start the keep-alive timeout, unless another request has begun."""
         super().requestDone(request)
-        if self.persistent and not self.requests:
+        has_next = bool(self.requests) or self._has_part_of_head()
+        if self.persistent and not has_next:
             self.timers.start_idle_period()
 
     def read_request_line(self) -> _RequestLine:
@@ -265,10 +256,10 @@
             cast(bytes, self._version),
         )
 
-    def _cancel_header_timer(self) -> None:
-        if self._header_timer is not None and self._header_timer.active():
-            self._header_timer.cancel()
-        self._header_timer = None
+    def _has_part_of_head(self) -> bool:
+        """Return whether a head has begun; empty lines ahead do not count."""
+        has_begun = bool(self.requests) or bool(self._buffer.strip())
+        return has_begun and bool(self.line_mode)
 
     def _send100Continue(self) -> None:  # overrides
         """Send nothing; the handler calls ``StreamRequest.send_continue``."""
@@ -336,6 +327,9 @@
         channel.handler = self._handler
         channel.site = self
         channel.timers = ConnectionTimers(
-            self.clock, self.limits, channel.timeoutConnection
+            self.clock,
+            self.limits,
+            channel.timeoutConnection,
+            channel.loseConnection,
         )
         return channel
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -97,3 +97,42 @@
     peer.send(GET[-2:])
     assert not peer.is_closed
     assert peer.received.startswith(b'HTTP/1.1 200 ')
+
+
+@pytest.mark.parametrize('before', [b'', GET, POST])
+def test_empty_line_on_an_idle_connection_does_not_start_a_head(before):
+    peer = Peer(idle_s=15, header_s=3)
+    peer.send(before)
+    peer.clock.advance(1)
+    peer.send(b'\r\n')
+    peer.clock.advance(13)
+    peer.transport.clear()
+    peer.send(GET)
+    assert not peer.is_closed
+    assert peer.received.startswith(b'HTTP/1.1 200 ')
+
+
+@pytest.mark.parametrize('before', [GET, POST])
+def test_part_of_a_head_in_the_chunk_of_a_request_is_timed(before):
+    peer = Peer(idle_s=15, header_s=3)
+    peer.send(before + GET[:-2])
+    for _each in range(2):
+        peer.clock.advance(1)
+        peer.send(b'a: b\r\n')
+    assert peer.closes_after(1)
+
+
+@pytest.mark.parametrize('size', range(1, len(GET)))
+def test_timeout_of_a_head_does_not_run_once_the_head_has_arrived(size):
+    received = []
+    peer = Peer(received.append, idle_s=15, header_s=3)
+    peer.send(GET[:size])
+    peer.clock.advance(2)
+    peer.send(GET[size:] + GET)
+    peer.clock.advance(20)
+    assert not peer.is_closed
+    received[0].send_response(json_response(200, 1))
+    peer.clock.advance(20)
+    assert not peer.is_closed
+    received[1].send_response(json_response(200, 1))
+    assert peer.closes_after(15)
