Answer 408 to a request whose headers do not arrive in time

The connection was closed without an answer, after which a caller cannot know whether its request was read. 408 tells it that the request has not run and will not.

--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -38,10 +38,23 @@
 
 MAX_DISCARDED_BYTES: Final = 1_000_000
 EXPECT_HEADER: Final = b'Expect'
+HEAD_TIMEOUT_RESPONSE: Final = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'Connection: close\r\n'
+    b'Content-Length: 0\r\n\r\n'
+)
 
 
 class Transport(Protocol):
-    """The methods of a transport that are used here."""
+    """The parts of a transport that are used here.
+
+    Attributes
+    ----------
+    disconnecting
+        Whether the connection is being closed.
+    """
+
+    disconnecting: bool
 
     def write(self, chunk: bytes) -> None:
         """Send bytes."""
@@ -256,6 +269,12 @@
             cast(bytes, self._version),
         )
 
+    def refuse_slow_head(self) -> None:
+        """Tell the caller that its request was not read, and close."""
+        if not self.transport.disconnecting:
+            self.transport.write(HEAD_TIMEOUT_RESPONSE)
+            self.loseConnection()
+
     def _has_part_of_head(self) -> bool:
         """Return whether a head has begun; empty lines ahead do not count."""
         has_begun = bool(self.requests) or bool(self._buffer.strip())
@@ -330,6 +349,6 @@
             self.clock,
             self.limits,
             channel.timeoutConnection,
-            channel.loseConnection,
+            channel.refuse_slow_head,
         )
         return channel
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -136,3 +136,23 @@
     assert not peer.is_closed
     received[1].send_response(json_response(200, 1))
     assert peer.closes_after(15)
+
+
+@pytest.mark.parametrize('before', [b'', GET, POST])
+def test_request_whose_head_is_late_is_answered_before_the_close(before):
+    peer = Peer(header_s=3)
+    peer.send(before)
+    peer.transport.clear()
+    peer.send(GET[:-2])
+    assert peer.closes_after(3)
+    assert peer.received.startswith(b'HTTP/1.1 408 ')
+    assert b'Connection: close\r\n' in peer.received
+
+
+def test_rejected_head_gets_one_answer_while_the_close_waits():
+    peer = Peer(header_s=3)
+    peer.send(b'GET /a HTTP/1.1\r\n')
+    peer.send(b'no header\r\n\r\n')
+    assert peer.received.startswith(b'HTTP/1.1 400 ')
+    peer.clock.advance(5)
+    assert peer.received.count(b'HTTP/1.1 ') == 1
