Read a refused body to its end before the connection is closed

A connection that is closed while bytes of its client are unread is reset: the client's next write fails, and what it has not received of the response is lost.

The rest of a body that is expected but may never come is awaited for 1 s without a byte; Connection: close tells the client not to send it. An endless body ends with a close after 100 MB, and no longer with an abort, which drops what is unsent.

test_refusal_is_sent_without_an_interim_response demanded the close at once, which is the fault. It now demands Connection: close, and the close after that second.

--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -3,8 +3,8 @@
 The handler of a request is called as soon as the headers have arrived, and the
 body follows as a stream. A handler may refuse a request before its body has
 been read. The response is then sent at once, and the rest of the body is read
-and discarded up to a limit. Closing the connection with the body unread could
-reset it before the caller has received the response.
+and discarded. Closing the connection with the body unread could reset it before
+the caller has received the response.
 """
 
 from collections.abc import Callable
@@ -27,6 +27,7 @@
 from marjoramlead.problems import BufferedResponse
 
 __all__ = (
+    'UNSENT_BODY_TIMEOUT_S',
     'Handler',
     'HeadLimits',
     'StreamRequest',
@@ -36,7 +37,12 @@
     'make_site',
 )
 
-MAX_DISCARDED_BYTES: Final = 1_000_000
+# Bytes of a refused body that are read and discarded; more than a body that is
+# within the limits of any routing table.
+MAX_DISCARDED_BYTES: Final = 100_000_000
+# The same in seconds without a byte, if the caller expects "100 Continue": it
+# may have begun to send its body without it, or may never send it.
+UNSENT_BODY_TIMEOUT_S: Final = 1.0
 EXPECT_HEADER: Final = b'Expect'
 HEAD_TIMEOUT_RESPONSE: Final = (
     b'HTTP/1.1 408 Request Timeout\r\n'
@@ -109,7 +115,7 @@
             return
         self._discarded_bytes += len(chunk)
         if self._discarded_bytes > MAX_DISCARDED_BYTES:
-            self.channel.forceAbortClient()
+            self.channel.loseConnection()
 
     def requestReceived(
         self,
@@ -174,21 +180,18 @@
         self.finish_response()
 
     def finish_response(self) -> None:
-        """Finish the response; the request ends once its body has been read.
-
-        A caller that expects "100 Continue" may never send its body, so its
-        connection is closed instead.
-        """
+        """Finish the response; the request ends once its body has been read."""
         if self.is_disconnected or self._is_response_finished:
             return
         self._is_response_finished = True
         if self._is_fully_received:
             self.finish()
-        elif self.requestHeaders.getRawHeaders(EXPECT_HEADER):
-            self.channel.loseConnection()
-        else:
-            self.channel.setTimeout(self.channel.site.limits().idle_s)
-            self.channel.transport.resumeProducing()
+            return
+        timeout_s = self.channel.site.limits().idle_s
+        if expects_continue(self):
+            timeout_s = min(timeout_s, UNSENT_BODY_TIMEOUT_S)
+        self.channel.setTimeout(timeout_s)
+        self.channel.transport.resumeProducing()
 
     def send_response_and_close(self, response: BufferedResponse) -> None:
         """Send a complete response and close the connection."""
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -10,6 +10,7 @@
 from marjoramlead.problems import json_response
 
 GET = b'GET /a HTTP/1.1\r\n\r\n'
+EXPECT = b'Expect: 100-continue\r\n'
 POST = b'POST /a HTTP/1.1\r\nContent-Length: 1\r\n\r\nx'
 
 
@@ -24,6 +25,17 @@
     )
 
 
+def refuse(req):
+    req.send_response(json_response(503, {}))
+
+
+def put(length, expect=b''):
+    return b'PUT /a HTTP/1.1\r\nContent-Length: %d\r\n%s\r\n' % (
+        length,
+        expect,
+    )
+
+
 class Peer:
     """A client's end of a connection whose limits may change."""
 
@@ -39,6 +51,10 @@
     def is_closed(self):
         return self.transport.disconnecting
 
+    @property
+    def is_reset(self):
+        return self.transport.disconnected
+
     @property
     def received(self):
         return self.transport.value()
@@ -156,3 +172,37 @@
     assert peer.received.startswith(b'HTTP/1.1 400 ')
     peer.clock.advance(5)
     assert peer.received.count(b'HTTP/1.1 ') == 1
+
+
+def test_refused_body_that_was_begun_unasked_is_read_before_the_close():
+    peer = Peer(refuse)
+    peer.send(put(9, EXPECT))
+    peer.send(b'abc')
+    assert peer.received.startswith(b'HTTP/1.1 503 ')
+    for _each in range(5):
+        peer.clock.advance(0.9)
+        assert not peer.is_closed
+        peer.send(b'd')
+    peer.send(b'e')
+    assert peer.is_closed
+
+
+@pytest.mark.parametrize('expect', [b'', EXPECT])
+def test_long_refused_body_is_read_to_its_end(expect):
+    peer = Peer(refuse)
+    megabytes = 64
+    peer.send(put(megabytes * 1_000_000, expect))
+    for _each in range(megabytes):
+        assert not peer.is_closed
+        peer.send(b'x' * 1_000_000)
+    assert peer.is_closed
+    assert not peer.is_reset
+
+
+def test_response_is_sent_before_the_close_amid_an_endless_body(monkeypatch):
+    monkeypatch.setattr('marjoramlead.http_server.MAX_DISCARDED_BYTES', 100)
+    peer = Peer(refuse)
+    peer.send(put(1000))
+    peer.send(b'x' * 101)
+    assert peer.is_closed
+    assert not peer.is_reset
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -4,7 +4,11 @@
 from twisted.python.failure import Failure
 
 from marjoramlead.bodies import MAX_UNREAD_BYTES
-from marjoramlead.http_server import HeadLimits, make_site
+from marjoramlead.http_server import (
+    UNSENT_BODY_TIMEOUT_S,
+    HeadLimits,
+    make_site,
+)
 from marjoramlead.problems import json_response
 
 
@@ -41,6 +45,8 @@
     )
     channel.dataReceived(head)
     assert b'100 Continue' not in transport.value()
+    assert b'Connection: close\r\n' in transport.value()
+    channel.site.clock.advance(UNSENT_BODY_TIMEOUT_S)
     assert transport.disconnecting
 
 
