--- a/marjoramlead/listeners.py
+++ b/marjoramlead/listeners.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Callable, Sequence
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from twisted.internet.defer import Deferred, DeferredList, maybeDeferred
 
@@ -53,7 +53,7 @@
 
     left_s = max(0, deadline - reactor.seconds())
     timer = reactor.callLater(left_s, end)
-    closing: list[Deferred[None]] = [
+    closing: list[Deferred[Any]] = [
         *(maybeDeferred(each.port.stopListening) for each in listeners),
         *(each.site.close() for each in listeners),
     ]
