Accept the connections that wait at a port before it is closed

Closing a port resets the connections that the operating system has taken and the process has not accepted yet: clients of a node that stops, and other nodes whose request is written by then, see a reset in place of an answer.

They are accepted in the iteration that closes the port, and connections without a request yet have 0.2 s for it.

--- a/marjoramlead/clock.py
+++ b/marjoramlead/clock.py
@@ -42,6 +42,9 @@
 class ListeningPort(Protocol):
     """A TCP port that accepts connections."""
 
+    def doRead(self) -> None:
+        """Accept connections that wait."""
+
     def stopListening(self) -> Deferred[None] | None:
         """Stop accepting connections; open connections stay open.
 
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -44,6 +44,8 @@
 # The same in seconds without a byte, if the caller expects "100 Continue": it
 # may have begun to send its body without it, or may never send it.
 UNSENT_BODY_TIMEOUT_S: Final = 1.0
+# Time for the first request of a connection that is new when its site closes.
+FIRST_REQUEST_WAIT_S: Final = 0.2
 EXPECT_HEADER: Final = b'Expect'
 HEAD_TIMEOUT_RESPONSE: Final = (
     b'HTTP/1.1 408 Request Timeout\r\n'
@@ -384,16 +386,16 @@
     def close(self) -> Deferred[None]:
         """Close all connections once their responses have been sent.
 
-        Responses are sent when the operating system has accepted all bytes.
+        Responses are sent when the operating system has accepted all bytes. New
+        connections have a short time for their first request.
 
         Returns
         -------
         Fires once all connections are closed.
         """
         self.is_closing = True
-        for channel in list(self.channels):
-            if not channel.requests:
-                channel.loseConnection()
+        self.close_idle()
+        self.clock.callLater(FIRST_REQUEST_WAIT_S, self._close_unused)
         if not self.channels and not self._all_closed.called:
             self._all_closed.callback(None)
         return self._all_closed
@@ -405,6 +407,11 @@
         if is_last and not self._all_closed.called:
             self._all_closed.callback(None)
 
+    def _close_unused(self) -> None:
+        for channel in list(self.channels):
+            if not channel.requests:
+                channel.loseConnection()
+
     def _build_channel(self) -> _StreamChannel:
         channel = _StreamChannel()
         channel.handler = self._handler
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -24,7 +24,7 @@
     StreamRequest,
     make_site,
 )
-from marjoramlead.listeners import Listener, close_listeners
+from marjoramlead.listeners import Listener, close_listeners, close_port
 from marjoramlead.mesh_state import expire_held_targets
 from marjoramlead.metrics import register_gauge
 from marjoramlead.peer_requests import handle_peer_request
@@ -292,7 +292,9 @@
     start_feed_drain(sidecar.feed_server)
     sidecar.reactor.callLater(TARGET_DRAIN_DELAY_S, _drain_target, sidecar)
     inbound_port = sidecar.listeners[sidecar.config.inbound].port
-    sidecar.reactor.callLater(INBOUND_CLOSE_DELAY_S, inbound_port.stopListening)
+    sidecar.reactor.callLater(
+        INBOUND_CLOSE_DELAY_S, close_port, inbound_port, sidecar.reactor
+    )
     sidecar.reactor.callLater(
         sidecar.config.termination_grace_s - CANCEL_MARGIN_S,
         end_requests,
--- a/marjoramlead/listeners.py
+++ b/marjoramlead/listeners.py
@@ -2,20 +2,26 @@
 
 A process that stops its event loop drops the bytes that it has written and
 that the operating system has not accepted yet. So it first closes its
-connections, which sends them. Ports close in the next iteration of the loop;
-one that is still open when the loop stops takes connections until the process
-has ended, and resets them then.
+connections, which sends them.
+
+A port takes connections before the process accepts them, and closing it resets
+those that wait. They are accepted first. A port that is still open when the
+loop stops takes connections until the process has ended.
 """
 
 from collections.abc import Callable, Sequence
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from twisted.internet.defer import Deferred, DeferredList, maybeDeferred
 
 from marjoramlead.clock import Clock, ListeningPort
 from marjoramlead.http_server import StreamSite
 
-__all__ = ('Listener', 'close_listeners')
+__all__ = ('Listener', 'close_listeners', 'close_port')
+
+# Calls that accept connections. Twisted accepts a limited number in each, and
+# raises the limit if more wait.
+ACCEPT_CALLS: Final = 3
 
 
 class Listener(NamedTuple):
@@ -25,6 +31,23 @@
     site: StreamSite
 
 
+def close_port(port: ListeningPort, reactor: Clock) -> Deferred[Any]:
+    """Accept the connections that wait at a port, and close it.
+
+    Returns
+    -------
+    Fires when the port is closed.
+    """
+
+    def accept_waiting() -> None:
+        for _call in range(ACCEPT_CALLS):
+            port.doRead()
+
+    # Twisted closes the port right after this, in the next iteration.
+    reactor.callLater(0, accept_waiting)
+    return maybeDeferred(port.stopListening)
+
+
 def close_listeners(
     listeners: Sequence[Listener],
     reactor: Clock,
@@ -51,12 +74,13 @@
             timer.cancel()
         on_closed(sum(len(each.site.channels) for each in listeners))
 
+    def close_connections(_closed_ports: object) -> Deferred[Any]:
+        return DeferredList([each.site.close() for each in listeners])
+
     left_s = max(0, deadline - reactor.seconds())
     timer = reactor.callLater(left_s, end)
-    closing: list[Deferred[Any]] = [
-        *(maybeDeferred(each.port.stopListening) for each in listeners),
-        *(each.site.close() for each in listeners),
-    ]
-    DeferredList(closing).addCallback(
-        lambda _results: end() if timer.active() else None
+    closing: Deferred[Any] = DeferredList(
+        [close_port(each.port, reactor) for each in listeners]
     )
+    closing.addCallback(close_connections)
+    closing.addCallback(lambda _closed: end() if timer.active() else None)
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -74,6 +74,9 @@
     net: MemoryNet
     address: tuple[str, int]
 
+    def doRead(self) -> None:
+        """Accept no connection, because none waits."""
+
     def stopListening(self) -> None:
         """Refuse new connections."""
         self.net.sites.pop(self.address, None)
