Exit in time although the periodic work of a node fails

An exception in the periodic work (settings, expired targets, probe) ended the loop that also closes the connections and exits: a node in that state answered no request in flight at the end of the grace period and was killed there. The stop is now checked first, and a failure of the rest is logged ('bug') without ending the loop, which the work of a running node needs as well.

tests/test_review_lost.py: with settings that cannot be read, the node had not exited 6 s after SIGTERM; it exits now.

--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import Final, cast
 
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 from twisted.web.http_headers import Headers
@@ -223,8 +224,18 @@
     )
 
 
-def _tick(sidecar: Sidecar) -> None:
+def _tick(sidecar: Sidecar) -> Deferred[None]:
+    """Do periodic work; a failure in it ends neither the loop nor a stop."""
     now = sidecar.reactor.seconds()
+    if sidecar.frontend.shutdown is not None:
+        _close_when_idle(sidecar, sidecar.frontend.shutdown, now)
+    working = maybeDeferred(_work_periodically, sidecar, now)
+    return working.addErrback(
+        lambda failure: emit('bug', error=failure.getTraceback())
+    )
+
+
+def _work_periodically(sidecar: Sidecar, now: float) -> None:
     expired_keys = expire_held_targets(sidecar.mesh_state, now)
     if expired_keys:
         emit('lapsed', keys=expired_keys)
@@ -235,8 +246,6 @@
     if now >= sidecar.next_reload_at:
         sidecar.next_reload_at = now + SETTINGS_CHECK_INTERVAL_S
         _reload_settings(sidecar)
-    if sidecar.frontend.shutdown is not None:
-        _close_when_idle(sidecar, sidecar.frontend.shutdown, now)
 
 
 def _reload_settings(sidecar: Sidecar) -> None:
