Serve calls of requests that still run while their node stops

From 2.8 s after SIGTERM on, all new requests at the port for clients were refused, also the calls of a request that the local target was still running for another node. The stop waits for that request until 5.2 s, but it failed (500) because its call had been turned away unsent.

tests/test_review_lost.py: the call was answered 503 and its request 500; both are answered 200 now, and the node exits right after.

--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -248,13 +248,15 @@
 ) -> Refusal | None:
     """Refuse a request that arrives too late in a shutdown.
 
-    The deadline of any other request is capped, so that it is answered before
-    the exit.
+    A call of a request that runs at the local target is served, because the
+    node does not exit before that request has ended. The deadline of a request
+    that is not refused is capped, so that it is answered before the exit.
     """
     shutdown = frontend.shutdown
     if shutdown is None:
         return None
-    if context.received_at > shutdown.accept_until:
+    is_late = context.received_at > shutdown.accept_until
+    if is_late and context.origin is not Origin.RUNNING_REQUEST:
         return Refusal(Reason.DRAINING, Verdict.NOT_RUN)
     context.deadline = min(context.deadline, shutdown.answer_by)
     return None
--- a/tests/test_review_lost.py
+++ b/tests/test_review_lost.py
@@ -1,7 +1,9 @@
 """Further ends of a process or a connection around the stop of a node."""
 
+from twisted.internet.defer import Deferred
+
 from marjoramlead.lifecycle import drain_sidecar
-from tests.platform_mesh import ready_mesh
+from tests.platform_mesh import ready_mesh, route
 
 GRACE_S = 6
 
@@ -18,3 +20,41 @@
     drain_sidecar(host.sidecar)
     mesh.advance(GRACE_S)
     assert host.has_exited
+
+
+def call_after(mesh, host, delay_s, calls):
+    """Return a function with which a target makes one call, after a delay."""
+
+    def make_calls(arrival):
+        has_succeeded = Deferred()
+
+        def on_end(_end):
+            has_succeeded.callback(calls[-1].status == 200)
+
+        def call():
+            call_id = f'{arrival.request_id}.1'
+            calls.append(mesh.send(host, '/call/x', request_id=call_id))
+            calls[-1].pending.addCallback(on_end)
+
+        mesh.reactor.callLater(delay_s, call)
+        return [has_succeeded]
+
+    return make_calls
+
+
+def test_call_of_a_request_that_still_runs_is_served_while_its_node_stops():
+    mesh = ready_mesh('web', 'api')
+    host, other = mesh.hosts
+    slow = route('slow', 'safe', 'web', timeout='5s')
+    mesh.configure(2, routes=[slow, route('call', 'safe', 'api')])
+    mesh.advance(1)
+    calls = []
+    host.target.make_calls = call_after(mesh, host, 2, calls)
+    drain_sidecar(host.sidecar)
+    mesh.advance(1)
+    sent = mesh.send(other, '/slow/x', wait_ms=5000)
+    mesh.advance(2.5)
+    assert [each.status for each in calls] == [200]
+    assert sent.status == 200
+    mesh.advance(0.5)
+    assert host.has_exited
