Close the open inbound port though the settings name another

The port for other nodes was looked up by the address in the settings in force. Once a reload (SIGHUP, or the file alone) had named another one, a stop raised KeyError in the middle: the gate did not close its kept connections, the port stayed open until the exit, and requests from before SIGTERM were not ended.

--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -254,7 +254,8 @@
     if config is None:
         return
     emit('reload', service=config.service, target=config.target)
-    sidecar.config = config
+    # The ports stay open where they are.
+    sidecar.config = config._replace(inbound=sidecar.config.inbound)
     if config.target != sidecar.gate.address:
         sidecar.gate.address = config.target
         sidecar.gate.pool = ConnectionPool(
--- a/tests/test_review_lost.py
+++ b/tests/test_review_lost.py
@@ -3,7 +3,7 @@
 from twisted.internet.defer import Deferred
 
 from marjoramlead.lifecycle import drain_sidecar
-from tests.platform_mesh import ready_mesh, route
+from tests.platform_mesh import INBOUND, ready_mesh, route
 
 GRACE_S = 6
 
@@ -58,3 +58,18 @@
     assert sent.status == 200
     mesh.advance(0.5)
     assert host.has_exited
+
+
+def test_stop_closes_the_open_port_though_the_settings_name_another():
+    mesh = ready_mesh('api', 'web')
+    host = mesh.hosts[0]
+    changed = host.sidecar.config._replace(inbound=(host.address, INBOUND + 9))
+    host.sidecar.adapter = host.sidecar.adapter._replace(
+        reload_config=lambda: changed
+    )
+    mesh.advance(2)
+    drain_sidecar(host.sidecar)
+    mesh.advance(2.5)
+    assert (host.address, INBOUND) not in mesh.net.sites
+    mesh.advance(GRACE_S - 2.5)
+    assert host.has_exited
