--- /dev/null
+++ b/tests/test_review_lost.py
@@ -0,0 +1,75 @@
+"""Further ends of a process or a connection around the stop of a node."""
+
+from twisted.internet.defer import Deferred
+
+from marjoramlead.lifecycle import drain_sidecar
+from tests.platform_mesh import INBOUND, ready_mesh, route
+
+GRACE_S = 6
+
+
+def test_node_whose_periodic_work_fails_exits_before_its_grace_period_ends():
+    mesh = ready_mesh('api', 'web')
+    host = mesh.hosts[0]
+
+    def fail():
+        raise RuntimeError
+
+    host.sidecar.adapter = host.sidecar.adapter._replace(reload_config=fail)
+    mesh.advance(2)
+    drain_sidecar(host.sidecar)
+    mesh.advance(GRACE_S)
+    assert host.has_exited
+
+
+def call_after(mesh, host, delay_s, calls):
+    """Return a function with which a target makes one call, after a delay."""
+
+    def make_calls(arrival):
+        has_succeeded = Deferred()
+
+        def on_end(_end):
+            has_succeeded.callback(calls[-1].status == 200)
+
+        def call():
+            call_id = f'{arrival.request_id}.1'
+            calls.append(mesh.send(host, '/call/x', request_id=call_id))
+            calls[-1].pending.addCallback(on_end)
+
+        mesh.reactor.callLater(delay_s, call)
+        return [has_succeeded]
+
+    return make_calls
+
+
+def test_call_of_a_request_that_still_runs_is_served_while_its_node_stops():
+    mesh = ready_mesh('web', 'api')
+    host, other = mesh.hosts
+    slow = route('slow', 'safe', 'web', timeout='5s')
+    mesh.configure(2, routes=[slow, route('call', 'safe', 'api')])
+    mesh.advance(1)
+    calls = []
+    host.target.make_calls = call_after(mesh, host, 2, calls)
+    drain_sidecar(host.sidecar)
+    mesh.advance(1)
+    sent = mesh.send(other, '/slow/x', wait_ms=5000)
+    mesh.advance(2.5)
+    assert [each.status for each in calls] == [200]
+    assert sent.status == 200
+    mesh.advance(0.5)
+    assert host.has_exited
+
+
+def test_stop_closes_the_open_port_though_the_settings_name_another():
+    mesh = ready_mesh('api', 'web')
+    host = mesh.hosts[0]
+    changed = host.sidecar.config._replace(inbound=(host.address, INBOUND + 9))
+    host.sidecar.adapter = host.sidecar.adapter._replace(
+        reload_config=lambda: changed
+    )
+    mesh.advance(2)
+    drain_sidecar(host.sidecar)
+    mesh.advance(2.5)
+    assert (host.address, INBOUND) not in mesh.net.sites
+    mesh.advance(GRACE_S - 2.5)
+    assert host.has_exited
