Scale the times of a shutdown to a shorter grace period

The delays of 1.5, 2.3 and 2.8 s were fixed, the margins counted from the end of the grace period. With 3 s, clients were accepted until 2.8 s, later than requests in flight were ended (2.2 s) and than the exit (2.7 s); requests at a target were answered 504 at 2.3 s, before the last sixth of the grace period. Below 6 s, all of these are now shorter in proportion. Answers before the exit no longer wait for the next tick of 0.25 s, which was more than the margin leaves then.

tests/test_review_lost.py, grace periods of 2, 3, 4, 6 and 20 s: 2, 3 and 4 s ended requests before five sixths of the grace period; none does now. 6 and 20 s passed.

--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -57,6 +57,9 @@
 # The settings file is checked at this interval, because it may change without
 # a SIGHUP.
 SETTINGS_CHECK_INTERVAL_S: Final = 1.0
+# The delays and margins of a shutdown are for a termination grace period of at
+# least this length. They are shorter, in proportion, in a shorter one.
+USUAL_GRACE_S: Final = 6.0
 # Time from the start of a shutdown until client requests are refused. Clients
 # learn of the shutdown within two readiness probes, one second apart.
 CLIENT_DRAIN_DELAY_S: Final = 2.8
@@ -291,24 +294,25 @@
     """
     if sidecar.frontend.shutdown is not None:
         return
+    call_later = sidecar.reactor.callLater
     now = sidecar.reactor.seconds()
-    grace_ends = now + sidecar.config.termination_grace_s
+    grace_s = sidecar.config.termination_grace_s
+    share = min(1, grace_s / USUAL_GRACE_S)
     shutdown = ShutdownSchedule(
-        now + CLIENT_DRAIN_DELAY_S,
-        grace_ends - ANSWER_MARGIN_S,
-        grace_ends - EXIT_MARGIN_S,
+        now + CLIENT_DRAIN_DELAY_S * share,
+        now + grace_s - ANSWER_MARGIN_S * share,
+        now + grace_s - EXIT_MARGIN_S * share,
     )
     sidecar.frontend.shutdown = shutdown
     start_feed_drain(sidecar.feed_server)
-    sidecar.reactor.callLater(TARGET_DRAIN_DELAY_S, _drain_target, sidecar)
+    call_later(TARGET_DRAIN_DELAY_S * share, _drain_target, sidecar)
     inbound_port = sidecar.listeners[sidecar.config.inbound].port
-    sidecar.reactor.callLater(
-        INBOUND_CLOSE_DELAY_S, close_port, inbound_port, sidecar.reactor
+    call_later(
+        INBOUND_CLOSE_DELAY_S * share, close_port, inbound_port, sidecar.reactor
     )
-    sidecar.reactor.callLater(
-        sidecar.config.termination_grace_s - CANCEL_MARGIN_S,
-        end_requests,
-        sidecar.frontend,
+    call_later(grace_s - ANSWER_MARGIN_S * share, _close, sidecar, shutdown)
+    call_later(
+        grace_s - CANCEL_MARGIN_S * share, end_requests, sidecar.frontend
     )
     emit('drain', in_flight=len(sidecar.frontend.in_flight))
 
@@ -318,15 +322,21 @@
 ) -> None:
     """Close all connections, then exit, once no request is in progress."""
     is_busy = sidecar.frontend.in_flight or sidecar.gate.tasks
-    earliest_close = shutdown.answer_by if is_busy else shutdown.accept_until
-    if now >= earliest_close and not sidecar.is_closing:
-        sidecar.is_closing = True
-        close_listeners(
-            list(sidecar.listeners.values()),
-            sidecar.reactor,
-            shutdown.exit_by,
-            lambda unsent: _stop(sidecar, unsent),
-        )
+    if now >= shutdown.accept_until and not is_busy:
+        _close(sidecar, shutdown)
+
+
+def _close(sidecar: Sidecar, shutdown: ShutdownSchedule) -> None:
+    """Close each connection after its response, then exit."""
+    if sidecar.is_closing:
+        return
+    sidecar.is_closing = True
+    close_listeners(
+        list(sidecar.listeners.values()),
+        sidecar.reactor,
+        shutdown.exit_by,
+        lambda unsent: _stop(sidecar, unsent),
+    )
 
 
 def _stop(sidecar: Sidecar, unsent: int) -> None:
--- a/tests/test_review_lost.py
+++ b/tests/test_review_lost.py
@@ -1,11 +1,15 @@
 """Further ends of a process or a connection around the stop of a node."""
 
+import pytest
 from twisted.internet.defer import Deferred
 
 from marjoramlead.lifecycle import drain_sidecar
-from tests.platform_mesh import INBOUND, ready_mesh, route
+from tests.memory_net import STEP_S
+from tests.platform_mesh import INBOUND, OUTBOUND, ready_mesh, route
 
 GRACE_S = 6
+# The least time that a process has to end.
+EXIT_S = 0.05
 
 
 def test_node_whose_periodic_work_fails_exits_before_its_grace_period_ends():
@@ -73,3 +77,26 @@
     assert (host.address, INBOUND) not in mesh.net.sites
     mesh.advance(GRACE_S - 2.5)
     assert host.has_exited
+
+
+@pytest.mark.parametrize('grace_s', [2, 3, 4, 6, 20])
+def test_no_request_is_cut_or_ended_early_by_another_grace_period(grace_s):
+    mesh = ready_mesh('api', 'web')
+    host = mesh.hosts[0]
+    mesh.hosts[1].target.fault = 'silent'
+    mesh.configure(2, routes=[route('slow', 'safe', 'web', timeout='30s')])
+    mesh.advance(1)
+    sidecar = host.sidecar
+    sidecar.config = sidecar.config._replace(termination_grace_s=grace_s)
+    sent = [mesh.send(host, '/slow/x', wait_ms=30_000)]
+    mesh.advance(STEP_S / 2)
+    drain_sidecar(sidecar)
+    started_at = mesh.reactor.seconds()
+    while (host.address, OUTBOUND) in mesh.net.sites:
+        sent.append(mesh.send(host, '/slow/x', wait_ms=30_000))
+        mesh.advance(0.05)
+    mesh.advance(GRACE_S)
+    assert {each.status for each in sent} == {503, 504}
+    broken_off_at = [each.ended_at for each in sent if each.status == 504]
+    assert min(broken_off_at) - started_at >= grace_s * 5 / 6
+    assert host.reactor.stopped_at - started_at < grace_s - EXIT_S
