Send answers that are written as a late loop reaches the exit

If the loop stands still from before the last answers (0.55 s before the end of the grace period) until the exit (0.3 s before it), both fall due in the same iteration, and stopping drops what was written in it. The exit now follows 0.02 s after the deadline, which is at least one poll of the loop later.

tests/test_review_lost.py: a loop that stands still for 0.5 s from 5.2, 5.3 or 5.4 s on sent no answer to a request in flight; it does now.

--- a/marjoramlead/listeners.py
+++ b/marjoramlead/listeners.py
@@ -22,6 +22,9 @@
 # Calls that accept connections. Twisted accepts a limited number in each, and
 # raises the limit if more wait.
 ACCEPT_CALLS: Final = 3
+# Time after the deadline in which answers are sent that were written at it, as
+# they are by a loop that is late.
+LAST_SEND_S: Final = 0.02
 
 
 class Listener(NamedTuple):
@@ -66,7 +69,7 @@
         Time after which connections are no longer waited for.
     on_closed
         Called once, with the number of connections that are still open: when
-        there are none, or at the deadline.
+        there are none, or right after the deadline.
     """
 
     def end() -> None:
@@ -74,11 +77,14 @@
             timer.cancel()
         on_closed(sum(len(each.site.channels) for each in listeners))
 
+    def end_soon() -> None:
+        reactor.callLater(LAST_SEND_S, end)
+
     def close_connections(_closed_ports: object) -> Deferred[Any]:
         return DeferredList([each.site.close() for each in listeners])
 
     left_s = max(0, deadline - reactor.seconds())
-    timer = reactor.callLater(left_s, end)
+    timer = reactor.callLater(left_s, end_soon)
     closing: Deferred[Any] = DeferredList(
         [close_port(each.port, reactor) for each in listeners]
     )
--- a/tests/test_review_lost.py
+++ b/tests/test_review_lost.py
@@ -100,3 +100,20 @@
     broken_off_at = [each.ended_at for each in sent if each.status == 504]
     assert min(broken_off_at) - started_at >= grace_s * 5 / 6
     assert host.reactor.stopped_at - started_at < grace_s - EXIT_S
+
+
+@pytest.mark.parametrize('stands_still_at', [5.0, 5.1, 5.2, 5.3, 5.4])
+def test_answers_are_sent_though_the_loop_is_late_at_the_exit(stands_still_at):
+    mesh = ready_mesh('api', 'web')
+    host = mesh.hosts[0]
+    mesh.hosts[1].target.fault = 'silent'
+    mesh.configure(2, routes=[route('slow', 'safe', 'web', timeout='9s')])
+    mesh.advance(1)
+    sent = mesh.send(host, '/slow/x', wait_ms=9000)
+    mesh.advance(STEP_S / 2)
+    drain_sidecar(host.sidecar)
+    mesh.advance(stands_still_at)
+    mesh.reactor.advance(0.5)
+    mesh.advance(GRACE_S - 0.5 - stands_still_at)
+    assert host.has_exited
+    assert sent.status == 504
