Order of changes: a type for revisions, with the era of the store

Cause: the store's revisions go back when it is restored from a copy, and are given out again, so that a bare number doesn't identify a change. All places that compare or keep a revision now use Revision(era, number). The era is always 0 for now; behaviour is unchanged.

--- a/marjoramlead/feed_client.py
+++ b/marjoramlead/feed_client.py
@@ -26,6 +26,7 @@
 )
 from marjoramlead.metrics import Metrics, traffic_counter
 from marjoramlead.record_log import Record
+from marjoramlead.revisions import NO_REVISION, Revision
 from marjoramlead.transfers import receive
 from marjoramlead.upstream import (
     Connect,
@@ -135,7 +136,7 @@
     if decoded.is_error():
         emit('hop_unreadable', why=decoded.error)
         return []
-    revision = document['revision']
+    revision = Revision(NO_REVISION.era, document['revision'])
     if revision >= mesh_state.revision:
         made_at = min(sent_at + document.get('held_s', 0), now)
         confirm_revision(mesh_state, revision, made_at - document['age_s'], now)
--- a/marjoramlead/feeds.py
+++ b/marjoramlead/feeds.py
@@ -29,6 +29,7 @@
     large_record_revisions,
     records_after,
 )
+from marjoramlead.revisions import NO_REVISION, Revision
 
 __all__ = (
     'FEED_PATH',
@@ -61,8 +62,8 @@
         Longest time of a long poll; 0 for an immediate answer.
     """
 
-    after: int
-    bases: frozenset[int] = frozenset()
+    after: Revision
+    bases: frozenset[Revision] = frozenset()
     wait_s: float = 0
 
 
@@ -76,8 +77,8 @@
 def encode_feed_query(query: FeedQuery) -> bytes:
     """Return the path and query string of a feed read."""
     parameters = {
-        'after': query.after,
-        'bases': ','.join(map(str, sorted(query.bases))),
+        'after': query.after.number,
+        'bases': ','.join(str(base.number) for base in sorted(query.bases)),
         'wait_ms': round(query.wait_s * MS_PER_SECOND),
     }
     encoded = urlencode(parameters, safe=',').encode()
@@ -88,12 +89,13 @@
     """Decode the query string of a feed read."""
     raw = uri.partition(b'?')[2].decode('latin-1')
     parameters = {name: texts[0] for name, texts in parse_qs(raw).items()}
+    era = NO_REVISION.era
     try:
         return Ok(
             FeedQuery(
-                int(parameters.get('after', 0)),
+                Revision(era, int(parameters.get('after', 0))),
                 frozenset(
-                    int(base)
+                    Revision(era, int(base))
                     for base in parameters.get('bases', '').split(',')
                     if base
                 ),
@@ -112,7 +114,7 @@
     ``held_s`` is the time between the arrival of the query and this answer.
     """
     document: FeedDocument = {
-        'revision': mesh_state.revision,
+        'revision': mesh_state.revision.number,
         'age_s': min(now - mesh_state.confirmed_at, MAX_AGE_S),
         'held_s': held_s,
         'listings': _encode_listings(mesh_state.records, query.after),
@@ -137,15 +139,17 @@
 ) -> Result[list[Record], Fault]:
     """Return the records in a feed, with all deltas applied."""
     records: list[Record] = []
+    era = NO_REVISION.era
     for each in document['records']:
         body = _decode_body(mesh_state.records, each)
         if body.is_error():
             return Error(body.error)
-        records.append(Record(each['key'], body.ok, each['revision']))
+        revision = Revision(era, each['revision'])
+        records.append(Record(each['key'], body.ok, revision))
     return Ok(records)
 
 
-def _encode_listings(log: RecordLog, after: int) -> list[FeedListing]:
+def _encode_listings(log: RecordLog, after: Revision) -> list[FeedListing]:
     """List the keys among which a deletion may be unknown to this node."""
     return [
         FeedListing(
@@ -162,20 +166,20 @@
 
 
 def _encode_record(
-    log: RecordLog, record: Record, bases: frozenset[int]
+    log: RecordLog, record: Record, bases: frozenset[Revision]
 ) -> FeedRecord:
     body = record.body or b''
     encoded: FeedRecord = {
         'key': record.key,
         'text': '',
-        'revision': record.revision,
+        'revision': record.revision.number,
         'is_deleted': record.body is None,
     }
     base = _choose_base(log, record, bases)
     if base is None or base.body is None:
         encoded['text'] = body.decode('latin-1')
     else:
-        encoded['base_revision'] = base.revision
+        encoded['base_revision'] = base.revision.number
         encoded['edits'] = [
             FeedEdit(
                 start=edit.start,
@@ -188,7 +192,7 @@
 
 
 def _choose_base(
-    log: RecordLog, record: Record, bases: frozenset[int]
+    log: RecordLog, record: Record, bases: frozenset[Revision]
 ) -> Record | None:
     """Return the version that has most in common with a record.
 
@@ -209,12 +213,13 @@
 ) -> Result[bytes | None, Fault]:
     if encoded['is_deleted']:
         return Ok(None)
-    base_revision = encoded.get('base_revision')
-    if base_revision is None:
+    base_number = encoded.get('base_revision')
+    if base_number is None:
         return Ok(encoded['text'].encode('latin-1'))
+    base_revision = Revision(NO_REVISION.era, base_number)
     base = find_version(log, encoded['key'], {base_revision})
     if base is None or base.body is None:
-        return Error(Fault(encoded['key'], f'no base {base_revision}'))
+        return Error(Fault(encoded['key'], f'no base {base_number}'))
     edits = [
         Edit(edit['start'], edit['stop'], edit['text'].encode('latin-1'))
         for edit in encoded.get('edits', [])
--- a/marjoramlead/hop_client.py
+++ b/marjoramlead/hop_client.py
@@ -29,6 +29,7 @@
     encode_job,
     load_from_report,
     refusal_from_report,
+    revision_from_report,
 )
 from marjoramlead.ledger import Outcome
 from marjoramlead.mesh_state import TargetEntry
@@ -38,6 +39,7 @@
     record_load_report,
     record_unreachable_host,
 )
+from marjoramlead.revisions import Revision
 from marjoramlead.upstream import (
     Connect,
     ConnectionFailure,
@@ -131,7 +133,7 @@
     balancer: BalancerState
     reactor: Clock
     port: int
-    on_revision: Callable[[int], None]
+    on_revision: Callable[[Revision], None]
     metrics: Metrics
     link_bytes_per_s: Callable[[], float]
     connect: Connect = connect_tcp
@@ -337,7 +339,7 @@
     record_load_report(
         stats, load_from_report(report), client.reactor.seconds(), job.route
     )
-    client.on_revision(report['revision'])
+    client.on_revision(revision_from_report(report))
     refusal = refusal_from_report(report)
     if refusal is not None:
         if refusal.reason in HOST_WIDE_REASONS:
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -17,6 +17,7 @@
     HopReport,
     JobTerms,
 )
+from marjoramlead.revisions import NO_REVISION, Revision
 from marjoramlead.routes import RetryPolicy
 from marjoramlead.target_queue import LoadReport
 from marjoramlead.upstream import HeaderList
@@ -36,6 +37,7 @@
     'encode_report',
     'load_from_report',
     'refusal_from_report',
+    'revision_from_report',
 )
 
 JOB_HEADER: Final = b'x-marjoram-job'
@@ -153,7 +155,7 @@
 def encode_report(
     load: LoadReport,
     refusal: Refusal | None,
-    revision: int,
+    revision: Revision,
 ) -> bytes:
     """Encode the outcome of a request and the load of the target.
 
@@ -168,7 +170,7 @@
         'room': load.room,
         'wait_s': min(load.wait_s, MS_PER_SECOND),
         'work_s': load.work_s,
-        'revision': revision,
+        'revision': revision.number,
     }
     if refusal is not None:
         report['verdict'] = refusal.verdict.value
@@ -203,6 +205,11 @@
         )
 
 
+def revision_from_report(report: HopReport) -> Revision:
+    """Return the revision of the store that the other node knows."""
+    return Revision(NO_REVISION.era, report['revision'])
+
+
 def load_from_report(report: HopReport) -> LoadReport:
     """Return the target's load in a report."""
     return LoadReport(report['room'], report['wait_s'], report['work_s'])
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -166,7 +166,7 @@
         'data_centre': sidecar.config.data_centre,
         'service': sidecar.config.service,
         'version': mesh_state.table.version if mesh_state.table else 0,
-        'revision': mesh_state.revision,
+        'revision': mesh_state.revision.number,
         'news_age_s': min(now - mesh_state.confirmed_at, MAX_REPORTED_AGE_S),
         'store_failures': sidecar.store_watcher.failures,
         'stopping': sidecar.frontend.shutdown is not None,
@@ -210,7 +210,7 @@
     register(
         'revision',
         'Store revision that this node has reached.',
-        lambda: mesh_state.revision,
+        lambda: mesh_state.revision.number,
     )
     register(
         'version',
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -20,6 +20,7 @@
     put_record,
     unlisted_records,
 )
+from marjoramlead.revisions import NO_REVISION, Revision
 from marjoramlead.routes import RoutingTable
 
 __all__ = (
@@ -156,8 +157,8 @@
     targets: dict[str, TargetEntry] = field(default_factory=dict)
     excluded: dict[str, str] = field(default_factory=dict)
     records: RecordLog = field(default_factory=RecordLog)
-    revision: int = 0
-    reported_revision: int = 0
+    revision: Revision = NO_REVISION
+    reported_revision: Revision = NO_REVISION
     confirmed_at: float = float('-inf')
     unchanged_until: float = float('-inf')
     reconnected_at: float = float('-inf')
@@ -191,7 +192,7 @@
 def remove_unlisted(
     mesh_state: MeshState,
     keys: Iterable[str],
-    revision: int,
+    revision: Revision,
     now: float,
     prefix: str = '',
 ) -> list[Record]:
@@ -228,7 +229,7 @@
 
 
 def confirm_revision(
-    mesh_state: MeshState, revision: int, confirmed_at: float, now: float
+    mesh_state: MeshState, revision: Revision, confirmed_at: float, now: float
 ) -> None:
     """Record that all changes up to a revision are known.
 
@@ -336,7 +337,9 @@
     ]
 
 
-def _publication_order(mesh_state: MeshState, key: str) -> tuple[bool, int]:
+def _publication_order(
+    mesh_state: MeshState, key: str
+) -> tuple[bool, Revision]:
     """Return a sort key that orders entries by the time of publication.
 
     The order follows the store's revisions, not the targets' start times,
--- a/marjoramlead/platform/decoding.py
+++ b/marjoramlead/platform/decoding.py
@@ -61,7 +61,7 @@
         emit(
             'record_refused',
             key=record.key,
-            revision=record.revision,
+            revision=record.revision.number,
             reason=f'{type(exc).__name__}: {exc}',
         )
     return None
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -15,6 +15,7 @@
 from marjoramlead.metrics import Metrics, traffic_counter
 from marjoramlead.platform.names import OPERATOR_PREFIX, TARGET_PREFIX
 from marjoramlead.record_log import Record
+from marjoramlead.revisions import NO_REVISION, Revision
 from marjoramlead.store_watcher import StoreUpdate
 from marjoramlead.transfers import receive
 from marjoramlead.upstream import (
@@ -69,14 +70,14 @@
 
     async def watch(
         self,
-        after: int,
+        after: Revision,
         wait_s: float,
     ) -> Result[StoreUpdate, Fault]:
         """Wait up to ``wait_s`` seconds for changes after a revision."""
         wait_ms = max(SHORTEST_WAIT_MS, int(wait_s * MS_PER_SECOND))
         return await self._watch('', after, wait_ms)
 
-    async def read_latest(self, after: int) -> Result[StoreUpdate, Fault]:
+    async def read_latest(self, after: Revision) -> Result[StoreUpdate, Fault]:
         """Read the changes after a revision without intermediate versions.
 
         A watch would deliver each version of the routing configuration in
@@ -99,7 +100,7 @@
         delivers the changes made while further pages were read.
         """
         records: list[Record] = []
-        revision = 0
+        revision = NO_REVISION
         after = ''
         for _page in range(MAX_PAGES):
             query = {'PathPrefix': prefix, 'after': after}
@@ -108,7 +109,8 @@
             )
             if page.is_error():
                 return Error(page.error)
-            revision = revision or page.ok['CurrentRev']
+            if revision == NO_REVISION:
+                revision = Revision(NO_REVISION.era, page.ok['CurrentRev'])
             records.extend(_decode_records(page.ok['items']))
             if not page.ok.get('MorePages'):
                 return Ok(StoreUpdate(records, revision, listed_prefix=prefix))
@@ -116,13 +118,13 @@
         return Error(Fault('listing', f'more than {MAX_PAGES} pages'))
 
     async def _watch(
-        self, prefix: str, after: int, wait_ms: int
+        self, prefix: str, after: Revision, wait_ms: int
     ) -> Result[StoreUpdate, Fault]:
         """Wait for changes; without any, the store has held the whole wait."""
         wait_s = wait_ms / MS_PER_SECOND
         query = {
             'PathPrefix': prefix,
-            'after': str(after),
+            'after': str(after.number),
             'WaitMs': str(wait_ms),
         }
         response = await self._get('kv-watch', query, wait_s)
@@ -130,7 +132,7 @@
             return Error(response.error)
         records = _decode_records(response.ok['events'])
         held_s = 0 if records else wait_s
-        revision = response.ok['CurrentRev']
+        revision = Revision(NO_REVISION.era, response.ok['CurrentRev'])
         return Ok(StoreUpdate(records, revision, held_s=held_s))
 
     async def _get(
@@ -188,5 +190,6 @@
             except (KeyError, TypeError, ValueError) as exc:
                 emit('record_refused', key=item.get('Key'), reason=str(exc))
                 body = b''
-        records.append(Record(item['Key'], body, item['Revision']))
+        revision = Revision(NO_REVISION.era, item['Revision'])
+        records.append(Record(item['Key'], body, revision))
     return records
--- a/marjoramlead/record_log.py
+++ b/marjoramlead/record_log.py
@@ -11,6 +11,8 @@
 from itertools import chain
 from typing import Final, NamedTuple
 
+from marjoramlead.revisions import NO_REVISION, Revision
+
 __all__ = (
     'Record',
     'RecordLog',
@@ -44,7 +46,7 @@
 
     key: str
     body: bytes | None
-    revision: int
+    revision: Revision
 
 
 @dataclass(slots=True)
@@ -64,7 +66,7 @@
 
     by_key: dict[str, Record] = field(default_factory=dict)
     replaced: dict[str, list[Record]] = field(default_factory=dict)
-    compacted: dict[str, int] = field(default_factory=dict)
+    compacted: dict[str, Revision] = field(default_factory=dict)
 
 
 def put_record(log: RecordLog, record: Record) -> bool:
@@ -80,15 +82,17 @@
     return True
 
 
-def records_after(log: RecordLog, revision: int) -> list[Record]:
+def records_after(log: RecordLog, revision: Revision) -> list[Record]:
     """List the records changed after a revision, including tombstones.
 
-    For revision 0, list all records except tombstones.
+    For ``NO_REVISION``, list all records except tombstones.
     """
+    includes_deleted = revision != NO_REVISION
     return [
         record
         for record in log.by_key.values()
-        if record.revision > revision and (revision or record.body is not None)
+        if record.revision > revision
+        and (includes_deleted or record.body is not None)
     ]
 
 
@@ -102,13 +106,13 @@
             yield record
 
 
-def mark_compacted(log: RecordLog, prefix: str, revision: int) -> None:
+def mark_compacted(log: RecordLog, prefix: str, revision: Revision) -> None:
     """Record that tombstones up to a revision may have been dropped."""
-    known = log.compacted.get(prefix, 0)
+    known = log.compacted.get(prefix, NO_REVISION)
     log.compacted[prefix] = max(known, revision)
 
 
-def large_record_revisions(log: RecordLog) -> frozenset[int]:
+def large_record_revisions(log: RecordLog) -> frozenset[Revision]:
     """Return the revisions of all known versions of large records."""
     replaced = chain.from_iterable(log.replaced.values())
     return frozenset(
@@ -119,14 +123,14 @@
 
 
 def find_version(
-    log: RecordLog, key: str, revisions: Container[int]
+    log: RecordLog, key: str, revisions: Container[Revision]
 ) -> Record | None:
     """Find the latest version of a record that has one of the revisions."""
     return next(iter(find_versions(log, key, revisions)), None)
 
 
 def find_versions(
-    log: RecordLog, key: str, revisions: Container[int]
+    log: RecordLog, key: str, revisions: Container[Revision]
 ) -> list[Record]:
     """List the versions of a record by their revisions, the latest first."""
     versions = list(log.replaced.get(key, ()))
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -32,6 +32,7 @@
     remove_unlisted,
 )
 from marjoramlead.record_log import Record
+from marjoramlead.revisions import NO_REVISION, Revision
 
 __all__ = (
     'FeedAddresses',
@@ -92,7 +93,7 @@
     """
 
     records: list[Record]
-    revision: int
+    revision: Revision
     listed_prefix: str | None = None
     held_s: float = 0
 
@@ -105,7 +106,7 @@
 
     async def watch(
         self,
-        after: int,
+        after: Revision,
         wait_s: float,
     ) -> Result[StoreUpdate, Fault]:
         """Wait for changes after a revision.
@@ -114,7 +115,7 @@
         the changes after this revision, and all records must be read again.
         """
 
-    async def read_latest(self, after: int) -> Result[StoreUpdate, Fault]:
+    async def read_latest(self, after: Revision) -> Result[StoreUpdate, Fault]:
         """Read the changes after a revision without intermediate versions."""
 
 
@@ -150,8 +151,8 @@
     on_confirm
         Called after each read of the store or of a parent.
     after
-        Revision up to which all changes have been read; 0 if all records must
-        be listed.
+        Revision up to which all changes have been read; ``NO_REVISION`` if all
+        records must be listed.
     failures
         Number of consecutive failed calls to the store.
     is_querying_peer
@@ -174,7 +175,7 @@
     on_confirm: Callable[[], None]
     reactor: Clock
     rng: Random
-    after: int = 0
+    after: Revision = NO_REVISION
     failures: int = 0
     is_querying_peer: bool = False
     is_routing_changing: bool = False
@@ -189,7 +190,7 @@
     )
 
 
-def note_reported_revision(watcher: StoreWatcher, revision: int) -> None:
+def note_reported_revision(watcher: StoreWatcher, revision: Revision) -> None:
     """Note a revision that another node has reported.
 
     If the watch does not deliver it in time, a peer is queried.
@@ -206,9 +207,10 @@
     )
 
 
-def _check_reported_revision(watcher: StoreWatcher, revision: int) -> None:
+def _check_reported_revision(watcher: StoreWatcher, revision: Revision) -> None:
     if watcher.mesh_state.revision < revision:
-        emit('behind', known=watcher.mesh_state.revision, heard=revision)
+        known = watcher.mesh_state.revision
+        emit('behind', known=known.number, heard=revision.number)
         _start_peer_query(watcher)
 
 
@@ -224,7 +226,7 @@
 def _choose_parent(watcher: StoreWatcher) -> Address | None:
     """Return the node to read next, or None to read the store."""
     parent, alternates = watcher.feed_sources()
-    if parent is None or not watcher.after:
+    if parent is None or watcher.after == NO_REVISION:
         return None
     return _first_usable(watcher, [parent, *alternates])
 
@@ -287,7 +289,7 @@
     watcher: StoreWatcher, wait_s: float
 ) -> Result[StoreUpdate, Fault]:
     """Read the changes; skip intermediate versions if changes are rapid."""
-    if not watcher.after:
+    if watcher.after == NO_REVISION:
         return await watcher.store.list_all()
     changed_ago = (
         watcher.reactor.seconds() - watcher.mesh_state.table_received_at
@@ -324,23 +326,25 @@
 def _note_origin(watcher: StoreWatcher, origin: str) -> None:
     if watcher.origin != origin:
         watcher.origin = origin
-        emit('source', origin=origin, revision=watcher.mesh_state.revision)
+        known = watcher.mesh_state.revision
+        emit('source', origin=origin, revision=known.number)
 
 
 async def _on_fault(watcher: StoreWatcher, fault: Fault) -> None:
     if fault.path == 'history':
-        emit('store_history_lost', after=watcher.after)
-        watcher.after = 0
+        emit('store_history_lost', after=watcher.after.number)
+        watcher.after = NO_REVISION
         return
     if not watcher.failures:
         emit(
             'store_lost',
             reason=fault.reason,
-            revision=watcher.mesh_state.revision,
+            revision=watcher.mesh_state.revision.number,
         )
     watcher.failures += 1
     alternate = _first_usable(watcher, watcher.feed_sources().alternates)
-    if watcher.after and alternate and await _follow(watcher, alternate):
+    is_current = watcher.after != NO_REVISION
+    if is_current and alternate and await _follow(watcher, alternate):
         return
     _start_peer_query(watcher)
     max_delay = min(BACKOFF_MAX_S, BACKOFF_FIRST_S * 2**watcher.failures)
@@ -381,7 +385,7 @@
 ) -> None:
     now = watcher.reactor.seconds()
     changed = apply_feed(watcher.mesh_state, document, sent_at, now)
-    if watcher.after:
+    if watcher.after != NO_REVISION:
         watcher.after = max(watcher.after, watcher.mesh_state.revision)
     _log_and_notify(watcher, changed, origin)
 
@@ -404,7 +408,7 @@
     emit(
         'news',
         origin=origin,
-        revision=watcher.mesh_state.revision,
+        revision=watcher.mesh_state.revision.number,
         keys=[record.key for record in changed[:10]],
         count=len(changed),
         bytes=sum(len(record.body or b'') for record in changed),
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -6,6 +6,8 @@
 
 import jsonc
 
+from marjoramlead.revisions import Revision
+
 EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
 
 
@@ -44,3 +46,8 @@
         'state': 'live',
         **changes,
     }
+
+
+def rev(number, era=0):
+    """Return a revision of the store, by default of its first era."""
+    return Revision(era, number)
--- a/tests/test_compression.py
+++ b/tests/test_compression.py
@@ -15,6 +15,7 @@
     decode_feed,
     encode_feed_query,
 )
+from marjoramlead.revisions import NO_REVISION
 from marjoramlead.upstream import (
     ConnectionPool,
     OutgoingRequest,
@@ -58,7 +59,7 @@
     pool = ConnectionPool(
         mesh.reactor, (mesh.hosts[0].address, INBOUND), 1, mesh.connect
     )
-    uri = encode_feed_query(FeedQuery(0))
+    uri = encode_feed_query(FeedQuery(NO_REVISION))
     outgoing = OutgoingRequest(b'GET', uri, [(b'Host', b'node'), *headers], b'')
     replies = []
     Deferred.fromCoroutine(send(pool, outgoing)).addCallback(replies.append)
--- a/tests/test_config_after_change.py
+++ b/tests/test_config_after_change.py
@@ -36,6 +36,7 @@
 from marjoramlead.verdict import Refusal
 from tests.memory_net import STEP_S
 from tests.platform_mesh import INBOUND, config, ready_mesh, route
+from tests.samples import rev
 
 # Bound of the rules for a change to be in force.
 CONFIG_APPLY_S = 2.5
@@ -192,8 +193,8 @@
     )
     before = mesh_state.confirmed_at
     mesh.reactor.rightNow += 0.5
-    newer = mesh_state.revision + 5
-    known = Record('servers/new', b'{}', newer)
+    newer = mesh_state.revision.number + 5
+    known = Record('servers/new', b'{}', rev(newer))
     document = {
         'revision': newer,
         'age_s': 0.5,
@@ -213,9 +214,9 @@
     from_peer = mesh_state.confirmed_at
     mesh.reactor.rightNow += 0.5
     store_watcher._apply_update(
-        watcher, StoreUpdate([], newer - 1), mesh.reactor.seconds()
+        watcher, StoreUpdate([], rev(newer - 1)), mesh.reactor.seconds()
     )
-    assert mesh_state.revision == newer
+    assert mesh_state.revision == rev(newer)
     assert mesh_state.confirmed_at == max(before, from_peer)
 
 
--- a/tests/test_config_storm.py
+++ b/tests/test_config_storm.py
@@ -4,6 +4,7 @@
 
 from marjoramlead.store_watcher import note_reported_revision
 from tests.platform_mesh import config, ready_mesh, route
+from tests.samples import rev
 
 ROUTES = [route(f'r{number}', 'safe', 'web') for number in range(300)]
 STORM_S = 4
@@ -78,7 +79,9 @@
     mesh.advance(0.05)
     mesh.configure(3, routes=ROUTES)
     for host in mesh.hosts:
-        note_reported_revision(host.sidecar.store_watcher, mesh.store.revision)
+        note_reported_revision(
+            host.sidecar.store_watcher, rev(mesh.store.revision)
+        )
     mesh.advance(1)
     assert 'news' in logged
     assert 'behind' not in logged
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -10,6 +10,7 @@
 from marjoramlead.record_log import Record
 from marjoramlead.routes import RoutingTable, WeightedService, find_route
 from tests.platform_mesh import config, route
+from tests.samples import rev
 
 ENTRY = {
     'Service': 'web',
@@ -27,7 +28,7 @@
 def decode(key, document):
     raw = document if isinstance(document, bytes) else json.dumps(document)
     body = raw if isinstance(raw, bytes) else raw.encode()
-    return decode_record(Record(key, body, 7), 50.0)
+    return decode_record(Record(key, body, rev(7)), 50.0)
 
 
 def test_target_entry_is_decoded():
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -25,6 +25,7 @@
 from marjoramlead.store_watcher import MAX_FEED_AGE_S, WATCH_TIMEOUT_S
 from standins.platform_store import delete, put
 from tests.platform_mesh import INBOUND, STORE, config, ready_mesh, route
+from tests.samples import rev
 
 IN_FORCE_S = 2
 HOSTS = 8
@@ -205,7 +206,7 @@
     watcher = follower.sidecar.store_watcher
     mesh_state = watcher.mesh_state
     document = {
-        'revision': mesh_state.revision + is_news,
+        'revision': mesh_state.revision.number + is_news,
         'age_s': MAX_FEED_AGE_S + 0.1,
         'records': [],
     }
@@ -246,14 +247,14 @@
 
 
 def test_deletion_is_learnt_from_a_node_that_started_after_it():
-    receiver = mesh_state_with(Record('op/evacuate/b', b'{}', 5))
-    confirm_revision(receiver, 5, 0, 0)
+    receiver = mesh_state_with(Record('op/evacuate/b', b'{}', rev(5)))
+    confirm_revision(receiver, rev(5), 0, 0)
     sender = mesh_state_with()
-    remove_unlisted(sender, [], 9, 0)
-    confirm_revision(sender, 9, 0, 0)
+    remove_unlisted(sender, [], rev(9), 0)
+    confirm_revision(sender, rev(9), 0, 0)
     send_feed(sender, receiver)
     assert not receiver.excluded
-    assert receiver.revision == 9
+    assert receiver.revision == rev(9)
 
 
 def test_text_without_a_common_base_is_sent_whole():
@@ -261,14 +262,14 @@
         json.dumps(config(version, routes=ROUTES)).encode()
         for version in (1, 2, 3)
     ]
-    receiver = mesh_state_with(Record('op/config', texts[0], 2))
-    confirm_revision(receiver, 2, 0, 0)
-    sender = mesh_state_with(Record('op/config', texts[1], 4))
-    confirm_revision(sender, 4, 0, 0)
+    receiver = mesh_state_with(Record('op/config', texts[0], rev(2)))
+    confirm_revision(receiver, rev(2), 0, 0)
+    sender = mesh_state_with(Record('op/config', texts[1], rev(4)))
+    confirm_revision(sender, rev(4), 0, 0)
     assert send_feed(sender, receiver) > len(texts[1])
     assert receiver.table.version == 2
-    apply_records(sender, [Record('op/config', texts[2], 6)], 0)
-    confirm_revision(sender, 6, 0, 0)
+    apply_records(sender, [Record('op/config', texts[2], rev(6))], 0)
+    confirm_revision(sender, rev(6), 0, 0)
     assert send_feed(sender, receiver) < 1000
     assert receiver.table.version == 3
     assert receiver.records.by_key['op/config'].body == texts[2]
@@ -279,11 +280,11 @@
         json.dumps(config(version, routes=ROUTES)).encode()
         for version in range(1, 5)
     ]
-    common = Record('op/config', texts[0], 2)
-    receiver = mesh_state_with(common, Record('op/config', texts[1], 4))
-    confirm_revision(receiver, 4, 0, 0)
-    sender = mesh_state_with(common, Record('op/config', texts[3], 6))
-    confirm_revision(sender, 6, 0, 0)
+    common = Record('op/config', texts[0], rev(2))
+    receiver = mesh_state_with(common, Record('op/config', texts[1], rev(4)))
+    confirm_revision(receiver, rev(4), 0, 0)
+    sender = mesh_state_with(common, Record('op/config', texts[3], rev(6)))
+    confirm_revision(sender, rev(6), 0, 0)
     assert send_feed(sender, receiver) < 1000
     assert receiver.records.by_key['op/config'].body == texts[3]
 
@@ -295,27 +296,27 @@
     routes['Rows'] = [row[:-1] for row in routes['Rows']]
     texts = [json.dumps(document).encode() for document in documents]
     common = [
-        Record('op/config', text, revision)
+        Record('op/config', text, rev(revision))
         for revision, text in ((2, texts[0]), (4, texts[1]))
     ]
     receiver = mesh_state_with(*common)
-    confirm_revision(receiver, 4, 0, 0)
-    sender = mesh_state_with(*common, Record('op/config', texts[2], 6))
-    confirm_revision(sender, 6, 0, 0)
+    confirm_revision(receiver, rev(4), 0, 0)
+    sender = mesh_state_with(*common, Record('op/config', texts[2], rev(6)))
+    confirm_revision(sender, rev(6), 0, 0)
     assert send_feed(sender, receiver) < 1000
     assert receiver.records.by_key['op/config'].body == texts[2]
 
 
 def test_data_of_a_node_that_knows_less_confirms_nothing():
     receiver = mesh_state_with()
-    confirm_revision(receiver, 9, 0, 0)
+    confirm_revision(receiver, rev(9), 0, 0)
     sender = mesh_state_with()
-    confirm_revision(sender, 8, 5, 5)
+    confirm_revision(sender, rev(8), 5, 5)
     document = decode_feed(
         encode_feed(sender, make_feed_query(receiver, 0), 5)
     ).ok
     apply_feed(receiver, document, 5, 5)
-    assert (receiver.revision, receiver.confirmed_at) == (9, 0)
+    assert (receiver.revision, receiver.confirmed_at) == (rev(9), 0)
 
 
 def test_fleet_keeps_up_with_random_changes_and_failures():
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -14,6 +14,7 @@
     remove_unlisted,
 )
 from marjoramlead.record_log import Record, records_after
+from tests.samples import rev
 
 
 def decode(record, now):
@@ -24,7 +25,7 @@
         return None
     return TargetEntry(
         record.key, 'web', ('10.0.0.1', 1), 'a', 4,
-        record.body == b'leaving', record.revision, 0, now,
+        record.body == b'leaving', record.revision.number, 0, now,
     )  # fmt: skip
 
 
@@ -32,7 +33,7 @@
 bodies = st.sampled_from([b'ready', b'leaving', b'bad', None])
 records = st.lists(st.tuples(keys, bodies), max_size=12).map(
     lambda pairs: [
-        Record(key, body, revision)
+        Record(key, body, rev(revision))
         for revision, (key, body) in enumerate(pairs, 1)
     ]
 )
@@ -63,24 +64,24 @@
     apply_records(source, published, 1000)
     lagging = MeshState(decode)
     apply_records(lagging, published[:split], 1000)
-    changes = records_after(source.records, min(split, len(published)))
+    changes = records_after(source.records, rev(min(split, len(published))))
     apply_records(lagging, changes, 1000)
     assert summary(lagging) == summary(source)
 
 
 def test_listing_deletes_missing_records_unless_they_are_newer():
     mesh_state = MeshState(decode)
-    published = [Record('t1', b'ready', 1), Record('t2', b'ready', 9)]
+    published = [Record('t1', b'ready', rev(1)), Record('t2', b'ready', rev(9))]
     apply_records(mesh_state, published, 1000)
-    remove_unlisted(mesh_state, [], 5, 1000)
+    remove_unlisted(mesh_state, [], rev(5), 1000)
     assert set(mesh_state.targets) == {'t2'}
 
 
 def test_target_that_expired_in_an_outage_is_held_for_two_seconds():
     mesh_state = MeshState(decode)
-    apply_records(mesh_state, [Record('t1', b'ready', 1)], 0)
+    apply_records(mesh_state, [Record('t1', b'ready', rev(1))], 0)
     mesh_state.reconnected_at = 10
-    apply_records(mesh_state, [Record('t1', None, 2)], 10)
+    apply_records(mesh_state, [Record('t1', None, rev(2))], 10)
     assert 't1' in mesh_state.targets
     assert expire_held_targets(mesh_state, 12.1) == ['t1']
     assert not mesh_state.targets
@@ -88,16 +89,16 @@
 
 def test_target_deleted_without_an_outage_is_removed_at_once():
     mesh_state = MeshState(decode)
-    apply_records(mesh_state, [Record('t1', b'ready', 1)], 0)
-    apply_records(mesh_state, [Record('t1', None, 2)], 1)
+    apply_records(mesh_state, [Record('t1', b'ready', rev(1))], 0)
+    apply_records(mesh_state, [Record('t1', None, rev(2))], 1)
     assert not mesh_state.targets
 
 
 def test_draining_target_deleted_after_an_outage_is_not_held():
     mesh_state = MeshState(decode)
-    apply_records(mesh_state, [Record('t1', b'leaving', 1)], 0)
+    apply_records(mesh_state, [Record('t1', b'leaving', rev(1))], 0)
     mesh_state.reconnected_at = 10
-    apply_records(mesh_state, [Record('t1', None, 2)], 10)
+    apply_records(mesh_state, [Record('t1', None, rev(2))], 10)
     assert not mesh_state.targets
 
 
@@ -112,24 +113,24 @@
 def test_target_whose_address_was_reused_is_not_usable():
     def decode_with_decreasing_start(record, now):
         entry = decode(record, now)
-        return entry and entry._replace(started_ms=-record.revision)
+        return entry and entry._replace(started_ms=-record.revision.number)
 
     mesh_state = MeshState(decode_with_decreasing_start)
-    apply_records(mesh_state, [Record('t1', b'ready', 1)], 10)
+    apply_records(mesh_state, [Record('t1', b'ready', rev(1))], 10)
     assert usable_keys(mesh_state) == {'t1'}
-    apply_records(mesh_state, [Record('t2', b'ready', 2)], 11)
+    apply_records(mesh_state, [Record('t2', b'ready', rev(2))], 11)
     assert usable_keys(mesh_state) == {'t2'}
     assert find_target_by_address(mesh_state, ('10.0.0.1', 1)).target_id == 't2'
-    apply_records(mesh_state, [Record('t2', None, 3)], 12)
+    apply_records(mesh_state, [Record('t2', None, rev(3))], 12)
     assert usable_keys(mesh_state) == {'t1'}
 
 
 def test_held_target_does_not_supersede_a_newer_one():
     mesh_state = MeshState(decode)
-    apply_records(mesh_state, [Record('t1', b'ready', 1)], 10)
+    apply_records(mesh_state, [Record('t1', b'ready', rev(1))], 10)
     mesh_state.reconnected_at = 20
-    apply_records(mesh_state, [Record('t2', b'ready', 2)], 20)
-    apply_records(mesh_state, [Record('t1', None, 3)], 20.1)
+    apply_records(mesh_state, [Record('t2', b'ready', rev(2))], 20)
+    apply_records(mesh_state, [Record('t1', None, rev(3))], 20.1)
     assert 't1' in mesh_state.held_until
     assert usable_keys(mesh_state) == {'t2'}
     expire_held_targets(mesh_state, 30)
--- a/tests/test_platform_mesh.py
+++ b/tests/test_platform_mesh.py
@@ -6,6 +6,7 @@
 from marjoramlead.store_watcher import note_reported_revision
 from standins.platform_store import put
 from tests.platform_mesh import INBOUND, STORE, TARGET, ready_mesh, route
+from tests.samples import rev
 
 
 def test_request_is_answered_by_its_target():
@@ -70,7 +71,7 @@
     mesh = ready_mesh('web', 'web')
     behind = mesh.hosts[0]
     note_reported_revision(
-        behind.sidecar.store_watcher, mesh.store.revision + 1
+        behind.sidecar.store_watcher, rev(mesh.store.revision + 1)
     )
     sent = mesh.send(behind, '/none/x')
     mesh.advance(0.1)
