Stand-in of the store: eras, the header Store-Era, restored copies

Waiting watches are cut, or held if the test asks. A watch after a revision that the store does not have gets 410. Interface of other tests as before.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,12 +1,14 @@
 """A stand-in for the platform's store: records under one common revision.
 
 Implements the two reads that the adapter uses: a listing in pages, and a watch
-that waits for changes.
+that waits for changes. A store can be restored from an earlier copy of itself.
+Each restoration begins a new era, and revisions are then given out again.
 """
 
 import json
 from base64 import b64encode
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
@@ -16,10 +18,19 @@
 from marjoramlead.http_server import StreamRequest
 from marjoramlead.problems import BufferedResponse
 
-__all__ = ('StoreStandIn', 'delete', 'handle_store', 'put')
+__all__ = (
+    'StoreCopy',
+    'StoreStandIn',
+    'delete',
+    'handle_store',
+    'put',
+    'restore',
+    'snapshot',
+)
 
 MS_PER_SECOND = 1000
 PAGE_SIZE = 50
+ERA_HEADER = b'Store-Era'
 JsonObject = dict[str, Any]
 
 
@@ -31,12 +42,15 @@
     ----------
     revision
         Revision of the last change.
+    era
+        Number of restorations, counted from 1; sent in all responses.
     records
         Current records by key.
     history
         All changes, the oldest first.
     compacted_revision
-        A watch that starts before this revision is refused with 410.
+        A watch that starts before this revision is refused with 410, as is
+        one that starts after the last change.
     error_status
         Status with which every call is refused, or 0.
     is_silent
@@ -47,6 +61,7 @@
 
     reactor: Clock
     revision: int = 1
+    era: int = 1
     records: dict[str, JsonObject] = field(default_factory=dict)
     history: list[JsonObject] = field(default_factory=list)
     compacted_revision: int = 0
@@ -64,6 +79,46 @@
     req: StreamRequest
 
 
+class StoreCopy(NamedTuple):
+    """What a store held at one moment."""
+
+    revision: int
+    records: dict[str, JsonObject]
+    history: list[JsonObject]
+    compacted_revision: int
+
+
+def snapshot(store: StoreStandIn) -> StoreCopy:
+    """Copy what the store holds now."""
+    return StoreCopy(
+        store.revision,
+        dict(store.records),
+        list(store.history),
+        store.compacted_revision,
+    )
+
+
+def restore(
+    store: StoreStandIn, copy: StoreCopy, *, holds_watches: bool = False
+) -> None:
+    """Return the store to an earlier copy, and begin a new era.
+
+    Pending watches are cut. If they are held instead, each ends with the
+    first change after its own revision or when its wait is over, and does not
+    report the changes whose revisions are given out again until then.
+    """
+    store.era += 1
+    store.revision = copy.revision
+    store.records = dict(copy.records)
+    store.history = list(copy.history)
+    store.compacted_revision = copy.compacted_revision
+    if holds_watches:
+        return
+    for watch in store.pending_watches:
+        watch.req.abort()
+    store.pending_watches = []
+
+
 def put(store: StoreStandIn, key: str, document: object) -> None:
     """Write a record, as an operator or a target would.
 
@@ -97,7 +152,7 @@
     if store.is_silent:
         return
     if store.error_status:
-        req.send_response(BufferedResponse(store.error_status, Headers(), b''))
+        _respond(store, req, store.error_status)
         return
     parts = urlsplit(req.uri.decode())
     query = {name: each[0] for name, each in parse_qs(parts.query).items()}
@@ -106,7 +161,7 @@
     elif parts.path == '/-/kv-watch':
         _watch(store, req, query)
     else:
-        req.send_response(BufferedResponse(404, Headers(), b''))
+        _respond(store, req, HTTPStatus.NOT_FOUND)
 
 
 def _encode(document: object) -> bytes:
@@ -125,6 +180,7 @@
         if key.startswith(prefix) and key > query.get('after', '')
     )
     _reply(
+        store,
         req,
         {
             'items': [store.records[key] for key in keys[:PAGE_SIZE]],
@@ -140,8 +196,9 @@
     query: dict[str, str],
 ) -> None:
     watch = Watch(query.get('PathPrefix', ''), int(query['after']), req)
-    if watch.after < store.compacted_revision:
-        req.send_response(BufferedResponse(410, Headers(), b''))
+    is_too_old = watch.after < store.compacted_revision
+    if is_too_old or watch.after > store.revision:
+        _respond(store, req, HTTPStatus.GONE)
     elif _changes(store, watch):
         _reply_changes(store, watch)
     else:
@@ -161,28 +218,38 @@
     pending_watches = store.pending_watches
     store.pending_watches = []
     for watch in pending_watches:
-        if change['Key'].startswith(watch.prefix):
+        if _is_reported(change, watch):
             _reply_changes(store, watch)
         else:
             store.pending_watches.append(watch)
 
 
 def _changes(store: StoreStandIn, watch: Watch) -> list[JsonObject]:
-    return [
-        each
-        for each in store.history
-        if each['Revision'] > watch.after
-        and each['Key'].startswith(watch.prefix)
-    ]
+    return [each for each in store.history if _is_reported(each, watch)]
+
+
+def _is_reported(change: JsonObject, watch: Watch) -> bool:
+    is_later: bool = change['Revision'] > watch.after
+    return is_later and change['Key'].startswith(watch.prefix)
 
 
 def _reply_changes(store: StoreStandIn, watch: Watch) -> None:
     if store.is_silent:
         return
     changes = _changes(store, watch)
-    _reply(watch.req, {'events': changes, 'CurrentRev': store.revision})
+    _reply(store, watch.req, {'events': changes, 'CurrentRev': store.revision})
 
 
-def _reply(req: StreamRequest, document: JsonObject) -> None:
-    headers = Headers({b'Content-Type': [b'application/json']})
-    req.send_response(BufferedResponse(200, headers, _encode(document)))
+def _reply(
+    store: StoreStandIn, req: StreamRequest, document: JsonObject
+) -> None:
+    _respond(store, req, HTTPStatus.OK, _encode(document))
+
+
+def _respond(
+    store: StoreStandIn, req: StreamRequest, status: int, body: bytes = b''
+) -> None:
+    headers = Headers({ERA_HEADER: [str(store.era).encode()]})
+    if body:
+        headers.setRawHeaders(b'Content-Type', [b'application/json'])
+    req.send_response(BufferedResponse(status, headers, body))
