Store client and messages between nodes: the era of a revision

The store's header Store-Era, in all its answers, tells its restorations apart. Answers of a later era are listed anew, those of an earlier era change nothing, and a listing over a restoration is no listing. Feeds and reports carry the era beside the revision. A node of the version before sends none: its records count as those of era 0, and it gets no delta once the store has been restored. All records that a node keeps are of the era of its revision, as an era begins with a whole listing and the tombstones of earlier eras are dropped.

--- a/marjoramlead/feed_client.py
+++ b/marjoramlead/feed_client.py
@@ -15,6 +15,7 @@
     FeedQuery,
     decode_feed,
     encode_feed_query,
+    feed_revision,
     records_from_feed,
 )
 from marjoramlead.generated.hop_types import FeedDocument
@@ -26,7 +27,7 @@
 )
 from marjoramlead.metrics import Metrics, traffic_counter
 from marjoramlead.record_log import Record
-from marjoramlead.revisions import NO_REVISION, Revision
+from marjoramlead.revisions import may_follow
 from marjoramlead.transfers import receive
 from marjoramlead.upstream import (
     Connect,
@@ -115,7 +116,8 @@
 
     The state counts as confirmed only if the other node knows at least as
     much and its texts could be rebuilt. It was current when the answer was
-    made, which is no earlier than the query was sent and held.
+    made, which is no earlier than the query was sent and held. A document of
+    an earlier era of the store changes nothing.
 
     Parameters
     ----------
@@ -132,11 +134,16 @@
     -------
     The records that were applied.
     """
+    revision = feed_revision(document)
+    is_complete = any(
+        not listing['prefix'] for listing in document.get('listings', [])
+    )
+    if not may_follow(mesh_state.revision, revision, is_complete=is_complete):
+        return []
     decoded = records_from_feed(mesh_state, document)
     if decoded.is_error():
         emit('hop_unreadable', why=decoded.error)
         return []
-    revision = Revision(NO_REVISION.era, document['revision'])
     if revision >= mesh_state.revision:
         made_at = min(sent_at + document.get('held_s', 0), now)
         confirm_revision(mesh_state, revision, made_at - document['age_s'], now)
--- a/marjoramlead/feed_server.py
+++ b/marjoramlead/feed_server.py
@@ -58,7 +58,8 @@
 
 def answer_feed_read(server: FeedServer, req: StreamRequest) -> None:
     """Answer a read, at once unless it is a long poll without changes."""
-    decoded = decode_feed_query(req.uri)
+    known = server.mesh_state.revision
+    decoded = decode_feed_query(req.uri, known.era)
     if decoded.is_error():
         emit('hop_unreadable', why=decoded.error)
         req.send_response(
@@ -66,7 +67,7 @@
         )
         return
     query = decoded.ok
-    has_changes = server.mesh_state.revision > query.after
+    has_changes = known > query.after
     if has_changes or server.is_draining or not query.wait_s:
         _send_feed(server, req, query)
         return
--- a/marjoramlead/feeds.py
+++ b/marjoramlead/feeds.py
@@ -6,6 +6,7 @@
 there are none.
 """
 
+from collections.abc import Mapping
 from typing import Final, NamedTuple
 from urllib.parse import parse_qs, urlencode
 
@@ -38,6 +39,7 @@
     'decode_feed_query',
     'encode_feed',
     'encode_feed_query',
+    'feed_revision',
     'make_feed_query',
     'records_from_feed',
 )
@@ -57,7 +59,8 @@
     after
         Revision up to which the receiver knows all changes.
     bases
-        Revisions of the versions of large records that the receiver has.
+        Revisions of the versions of large records that the receiver has, of
+        the era of ``after``.
     wait_s
         Longest time of a long poll; 0 for an immediate answer.
     """
@@ -69,15 +72,17 @@
 
 def make_feed_query(mesh_state: MeshState, wait_s: float) -> FeedQuery:
     """Return the query for what a node does not know yet."""
-    return FeedQuery(
-        mesh_state.revision, large_record_revisions(mesh_state.records), wait_s
-    )
+    revision = mesh_state.revision
+    bases = large_record_revisions(mesh_state.records)
+    of_this_era = frozenset(base for base in bases if base.era == revision.era)
+    return FeedQuery(revision, of_this_era, wait_s)
 
 
 def encode_feed_query(query: FeedQuery) -> bytes:
     """Return the path and query string of a feed read."""
     parameters = {
         'after': query.after.number,
+        'era': query.after.era,
         'bases': ','.join(str(base.number) for base in sorted(query.bases)),
         'wait_ms': round(query.wait_s * MS_PER_SECOND),
     }
@@ -85,18 +90,25 @@
     return b'%b?%b' % (FEED_PATH, encoded)
 
 
-def decode_feed_query(uri: bytes) -> Result[FeedQuery, Fault]:
-    """Decode the query string of a feed read."""
+def decode_feed_query(uri: bytes, own_era: int) -> Result[FeedQuery, Fault]:
+    """Decode the query string of a feed read.
+
+    A node of an earlier version does not say of which era its revisions are.
+    It is taken for the era of the node that answers, ``own_era``. If that may
+    be wrong, no delta is sent, because the base may be another text.
+    """
     raw = uri.partition(b'?')[2].decode('latin-1')
     parameters = {name: texts[0] for name, texts in parse_qs(raw).items()}
-    era = NO_REVISION.era
+    bases = parameters.get('bases', '').split(',')
+    if own_era != NO_REVISION.era and 'era' not in parameters:
+        bases = []
     try:
         return Ok(
             FeedQuery(
-                Revision(era, int(parameters.get('after', 0))),
+                _decode_after(parameters, own_era),
                 frozenset(
-                    Revision(era, int(base))
-                    for base in parameters.get('bases', '').split(',')
+                    Revision(int(parameters.get('era', own_era)), int(base))
+                    for base in bases
                     if base
                 ),
                 int(parameters.get('wait_ms', 0)) / MS_PER_SECOND,
@@ -106,6 +118,13 @@
         return Error(Fault('feed query', str(exc)))
 
 
+def _decode_after(parameters: Mapping[str, str], own_era: int) -> Revision:
+    number = int(parameters.get('after', 0))
+    if not number:
+        return NO_REVISION
+    return Revision(int(parameters.get('era', own_era)), number)
+
+
 def encode_feed(
     mesh_state: MeshState, query: FeedQuery, now: float, held_s: float = 0
 ) -> bytes:
@@ -115,6 +134,7 @@
     """
     document: FeedDocument = {
         'revision': mesh_state.revision.number,
+        'era': mesh_state.revision.era,
         'age_s': min(now - mesh_state.confirmed_at, MAX_AGE_S),
         'held_s': held_s,
         'listings': _encode_listings(mesh_state.records, query.after),
@@ -134,12 +154,25 @@
         return Error(Fault('feed', str(exc)))
 
 
+def feed_revision(document: FeedDocument) -> Revision:
+    """Return the revision that a feed leads up to.
+
+    A node of an earlier version knows no eras; its records are taken for those
+    of a store that was never restored.
+    """
+    return Revision(document.get('era', NO_REVISION.era), document['revision'])
+
+
 def records_from_feed(
     mesh_state: MeshState, document: FeedDocument
 ) -> Result[list[Record], Fault]:
-    """Return the records in a feed, with all deltas applied."""
+    """Return the records in a feed, with all deltas applied.
+
+    All records that exist in an era have been listed in it, so that their
+    revisions are of the same era as that of the feed.
+    """
     records: list[Record] = []
-    era = NO_REVISION.era
+    era = feed_revision(document).era
     for each in document['records']:
         body = _decode_body(mesh_state.records, each)
         if body.is_error():
@@ -180,6 +213,7 @@
         encoded['text'] = body.decode('latin-1')
     else:
         encoded['base_revision'] = base.revision.number
+        encoded['base_era'] = base.revision.era
         encoded['edits'] = [
             FeedEdit(
                 start=edit.start,
@@ -216,7 +250,8 @@
     base_number = encoded.get('base_revision')
     if base_number is None:
         return Ok(encoded['text'].encode('latin-1'))
-    base_revision = Revision(NO_REVISION.era, base_number)
+    base_era = encoded.get('base_era', NO_REVISION.era)
+    base_revision = Revision(base_era, base_number)
     base = find_version(log, encoded['key'], {base_revision})
     if base is None or base.body is None:
         return Error(Fault(encoded['key'], f'no base {base_number}'))
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -171,6 +171,7 @@
         'wait_s': min(load.wait_s, MS_PER_SECOND),
         'work_s': load.work_s,
         'revision': revision.number,
+        'era': revision.era,
     }
     if refusal is not None:
         report['verdict'] = refusal.verdict.value
@@ -207,7 +208,7 @@
 
 def revision_from_report(report: HopReport) -> Revision:
     """Return the revision of the store that the other node knows."""
-    return Revision(NO_REVISION.era, report['revision'])
+    return Revision(report.get('era', NO_REVISION.era), report['revision'])
 
 
 def load_from_report(report: HopReport) -> LoadReport:
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -16,6 +16,7 @@
 from marjoramlead.record_log import (
     Record,
     RecordLog,
+    drop_older_tombstones,
     mark_compacted,
     put_record,
     unlisted_records,
@@ -252,6 +253,8 @@
     gap = confirmed_at - mesh_state.confirmed_at
     if isfinite(gap) and gap > MIN_OUTAGE_S:
         mesh_state.reconnected_at = now
+    if revision.era > mesh_state.revision.era:
+        drop_older_tombstones(mesh_state.records, revision.era)
     if revision > mesh_state.revision:
         mesh_state.unchanged_until = mesh_state.confirmed_at
     if revision >= mesh_state.revision:
--- a/marjoramlead/platform/names.py
+++ b/marjoramlead/platform/names.py
@@ -6,6 +6,7 @@
 
 __all__ = (
     'CONFIG_KEY',
+    'ERA_HEADER',
     'EVACUATION_PREFIX',
     'OPERATOR_PREFIX',
     'PLATFORM_HEADER_NAMES',
@@ -19,6 +20,8 @@
 CONFIG_KEY: Final = 'op/config'
 EVACUATION_PREFIX: Final = 'op/evacuate/'
 TARGET_PREFIX: Final = 'servers/'
+# Number of the store's restorations from a copy, in each of its responses.
+ERA_HEADER: Final = b'store-era'
 
 PLATFORM_HEADER_NAMES: Final = HeaderNames(
     request_id=b'x-request-id',
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -2,7 +2,7 @@
 
 from base64 import b64decode
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 from urllib.parse import urlencode
 
 import msgspec
@@ -13,7 +13,11 @@
 from marjoramlead.errors import Fault
 from marjoramlead.events import emit
 from marjoramlead.metrics import Metrics, traffic_counter
-from marjoramlead.platform.names import OPERATOR_PREFIX, TARGET_PREFIX
+from marjoramlead.platform.names import (
+    ERA_HEADER,
+    OPERATOR_PREFIX,
+    TARGET_PREFIX,
+)
 from marjoramlead.record_log import Record
 from marjoramlead.revisions import NO_REVISION, Revision
 from marjoramlead.store_watcher import StoreUpdate
@@ -21,10 +25,12 @@
 from marjoramlead.upstream import (
     Connect,
     ConnectionPool,
+    HeaderList,
     OutgoingRequest,
     SendResult,
     close_idle,
     connect_tcp,
+    header_value,
 )
 
 __all__ = ('PlatformStore',)
@@ -43,6 +49,13 @@
 SHORTEST_WAIT_MS: Final = 1
 
 
+class _Answer(NamedTuple):
+    """A document of the store, and the era that it belongs to."""
+
+    document: dict[str, Any]
+    era: int
+
+
 class PlatformStore:
     """Read-only client of the store at one address."""
 
@@ -84,7 +97,9 @@
         full. The operator's records are listed instead, and only the changes
         of targets are watched.
         """
-        listing = await self._list(OPERATOR_PREFIX)
+        listing = (await self._list(OPERATOR_PREFIX)).bind(
+            lambda update: _check_era(update, after)
+        )
         if listing.is_error():
             return listing
         changes = await self._watch(TARGET_PREFIX, after, SHORTEST_WAIT_MS)
@@ -97,7 +112,8 @@
         """List the records whose keys begin with a prefix.
 
         The revision is that of the first page, so that a watch after it
-        delivers the changes made while further pages were read.
+        delivers the changes made while further pages were read. Pages from
+        before and after a restoration of the store are no listing.
         """
         records: list[Record] = []
         revision = NO_REVISION
@@ -109,12 +125,15 @@
             )
             if page.is_error():
                 return Error(page.error)
+            document, era = page.ok
             if revision == NO_REVISION:
-                revision = Revision(NO_REVISION.era, page.ok['CurrentRev'])
-            records.extend(_decode_records(page.ok['items']))
-            if not page.ok.get('MorePages'):
+                revision = Revision(era, document['CurrentRev'])
+            if revision.era != era:
+                return Error(Fault('listing', 'the store has been restored'))
+            records.extend(_decode_records(document['items'], era))
+            if not document.get('MorePages'):
                 return Ok(StoreUpdate(records, revision, listed_prefix=prefix))
-            after = page.ok['items'][-1]['Key']
+            after = document['items'][-1]['Key']
         return Error(Fault('listing', f'more than {MAX_PAGES} pages'))
 
     async def _watch(
@@ -130,17 +149,19 @@
         response = await self._get('kv-watch', query, wait_s)
         if response.is_error():
             return Error(response.error)
-        records = _decode_records(response.ok['events'])
+        document, era = response.ok
+        records = _decode_records(document['events'], era)
         held_s = 0 if records else wait_s
-        revision = Revision(NO_REVISION.era, response.ok['CurrentRev'])
-        return Ok(StoreUpdate(records, revision, held_s=held_s))
+        revision = Revision(era, document['CurrentRev'])
+        update = StoreUpdate(records, revision, held_s=held_s)
+        return _check_era(update, after)
 
     async def _get(
         self,
         endpoint: str,
         query: dict[str, str],
         wait_s: float,
-    ) -> Result[dict[str, Any], Fault]:
+    ) -> Result[_Answer, Fault]:
         params = {
             name: text
             for name, text in query.items()
@@ -162,7 +183,7 @@
 
 def _decode_response(
     send_result: SendResult | None,
-) -> Result[dict[str, Any], Fault]:
+) -> Result[_Answer, Fault]:
     if send_result is None:
         return Error(Fault('silent', 'no response in time'))
     if send_result.is_error():
@@ -177,10 +198,32 @@
         return Error(Fault('unreadable', str(exc)))
     if not isinstance(decoded, dict) or 'CurrentRev' not in decoded:
         return Error(Fault('unreadable', 'no revision in the response'))
-    return Ok(decoded)
+    return Ok(_Answer(decoded, _decode_era(send_result.ok.headers)))
+
+
+def _decode_era(headers: HeaderList) -> int:
+    """Return the era of an answer; 0 if it has none that can be read."""
+    raw = header_value(headers, ERA_HEADER)
+    if raw.isascii() and raw.isdigit():
+        return int(raw)
+    if raw:
+        emit('era_unreadable', era=raw)
+    return NO_REVISION.era
+
+
+def _check_era(
+    update: StoreUpdate, after: Revision
+) -> Result[StoreUpdate, Fault]:
+    """Refuse changes that are not of the era of the revision before them."""
+    era = update.revision.era
+    if era > after.era:
+        return Error(Fault('history', 'the store has been restored'))
+    if era < after.era:
+        return Error(Fault('era', f'era {era} is before era {after.era}'))
+    return Ok(update)
 
 
-def _decode_records(items: list[dict[str, Any]]) -> list[Record]:
+def _decode_records(items: list[dict[str, Any]], era: int) -> list[Record]:
     records: list[Record] = []
     for item in items:
         body: bytes | None = None
@@ -190,6 +233,6 @@
             except (KeyError, TypeError, ValueError) as exc:
                 emit('record_refused', key=item.get('Key'), reason=str(exc))
                 body = b''
-        revision = Revision(NO_REVISION.era, item['Revision'])
+        revision = Revision(era, item['Revision'])
         records.append(Record(item['Key'], body, revision))
     return records
--- a/marjoramlead/record_log.py
+++ b/marjoramlead/record_log.py
@@ -16,6 +16,7 @@
 __all__ = (
     'Record',
     'RecordLog',
+    'drop_older_tombstones',
     'find_version',
     'find_versions',
     'large_record_revisions',
@@ -112,6 +113,14 @@
     log.compacted[prefix] = max(known, revision)
 
 
+def drop_older_tombstones(log: RecordLog, era: int) -> None:
+    """Drop the tombstones of earlier eras, whose records need no deletion."""
+    for record in list(log.by_key.values()):
+        if record.body is None and record.revision.era < era:
+            log.by_key.pop(record.key)
+            mark_compacted(log, '', record.revision)
+
+
 def large_record_revisions(log: RecordLog) -> frozenset[Revision]:
     """Return the revisions of all known versions of large records."""
     replaced = chain.from_iterable(log.replaced.values())
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -15,7 +15,7 @@
 from random import Random
 from typing import Final, NamedTuple, Protocol
 
-from expression import Result
+from expression import Error, Result
 from twisted.internet.defer import Deferred
 
 from marjoramlead.address import Address
@@ -32,7 +32,7 @@
     remove_unlisted,
 )
 from marjoramlead.record_log import Record
-from marjoramlead.revisions import NO_REVISION, Revision
+from marjoramlead.revisions import NO_REVISION, Revision, may_follow
 
 __all__ = (
     'FeedAddresses',
@@ -112,7 +112,8 @@
         """Wait for changes after a revision.
 
         A fault whose path is ``history`` means that the store no longer knows
-        the changes after this revision, and all records must be read again.
+        the changes after this revision, or was restored since, and all records
+        must be read again.
         """
 
     async def read_latest(self, after: Revision) -> Result[StoreUpdate, Fault]:
@@ -272,6 +273,8 @@
     """Read the store once, and wait until it may be read again."""
     sent_at = watcher.reactor.seconds()
     result = await _fetch_changes(watcher, wait_s)
+    if result.is_ok() and not _is_applicable(watcher, result.ok):
+        result = Error(Fault('era', 'the answer is of an earlier era'))
     if result.is_error():
         await _on_fault(watcher, result.error)
         return
@@ -300,6 +303,16 @@
     return await watcher.store.watch(watcher.after, wait_s)
 
 
+def _is_applicable(watcher: StoreWatcher, update: StoreUpdate) -> bool:
+    """Return whether an update is of the era that this node knows, or later.
+
+    Another node may have told of a later era during the call.
+    """
+    known = watcher.mesh_state.revision
+    is_complete = update.listed_prefix == ''  # noqa: WPS502  # may be None
+    return may_follow(known, update.revision, is_complete=is_complete)
+
+
 def _apply_update(
     watcher: StoreWatcher, update: StoreUpdate, sent_at: float
 ) -> None:
--- a/tests/test_config_after_change.py
+++ b/tests/test_config_after_change.py
@@ -193,10 +193,12 @@
     )
     before = mesh_state.confirmed_at
     mesh.reactor.rightNow += 0.5
-    newer = mesh_state.revision.number + 5
-    known = Record('servers/new', b'{}', rev(newer))
+    era, number = mesh_state.revision
+    newer = number + 5
+    known = Record('servers/new', b'{}', rev(newer, era))
     document = {
         'revision': newer,
+        'era': era,
         'age_s': 0.5,
         'listings': [],
         'records': [
@@ -214,9 +216,9 @@
     from_peer = mesh_state.confirmed_at
     mesh.reactor.rightNow += 0.5
     store_watcher._apply_update(
-        watcher, StoreUpdate([], rev(newer - 1)), mesh.reactor.seconds()
+        watcher, StoreUpdate([], rev(newer - 1, era)), mesh.reactor.seconds()
     )
-    assert mesh_state.revision == rev(newer)
+    assert mesh_state.revision == rev(newer, era)
     assert mesh_state.confirmed_at == max(before, from_peer)
 
 
--- a/tests/test_config_storm.py
+++ b/tests/test_config_storm.py
@@ -80,7 +80,7 @@
     mesh.configure(3, routes=ROUTES)
     for host in mesh.hosts:
         note_reported_revision(
-            host.sidecar.store_watcher, rev(mesh.store.revision)
+            host.sidecar.store_watcher, rev(mesh.store.revision, mesh.store.era)
         )
     mesh.advance(1)
     assert 'news' in logged
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -12,7 +12,14 @@
 from marjoramlead.errors import Fault
 from marjoramlead.feed_client import apply_feed
 from marjoramlead.feed_tree import choose_sources
-from marjoramlead.feeds import decode_feed, encode_feed, make_feed_query
+from marjoramlead.feeds import (
+    FeedQuery,
+    decode_feed,
+    decode_feed_query,
+    encode_feed,
+    encode_feed_query,
+    make_feed_query,
+)
 from marjoramlead.lifecycle import drain_sidecar
 from marjoramlead.mesh_state import (
     MeshState,
@@ -22,6 +29,7 @@
 )
 from marjoramlead.platform.decoding import decode_record
 from marjoramlead.record_log import Record
+from marjoramlead.revisions import NO_REVISION
 from marjoramlead.store_watcher import MAX_FEED_AGE_S, WATCH_TIMEOUT_S
 from standins.platform_store import delete, put
 from tests.platform_mesh import INBOUND, STORE, config, ready_mesh, route
@@ -207,6 +215,7 @@
     mesh_state = watcher.mesh_state
     document = {
         'revision': mesh_state.revision.number + is_news,
+        'era': mesh_state.revision.era,
         'age_s': MAX_FEED_AGE_S + 0.1,
         'records': [],
     }
@@ -392,3 +401,108 @@
         host = sources[host].parent
         depth += 1
     return depth
+
+
+def restored_mesh_states():
+    """Return two states, of which one knows a later era of the store."""
+    texts = [
+        json.dumps(config(version, routes=ROUTES)).encode()
+        for version in (1, 2, 3)
+    ]
+    common = [
+        Record('op/config', texts[0], rev(4)),
+        Record('op/evacuate/a', b'{}', rev(5)),
+    ]
+    behind = mesh_state_with(*common, Record('op/evacuate/b', b'{}', rev(6)))
+    confirm_revision(behind, rev(6), 0, 0)
+    ahead = mesh_state_with(*common, Record('op/evacuate/b', None, rev(7)))
+    confirm_revision(ahead, rev(7), 0, 0)
+    listed = [
+        Record('op/config', texts[1], rev(4, era=1)),
+        Record('op/evacuate/c', b'{}', rev(3, era=1)),
+    ]
+    confirm_revision(ahead, rev(4, era=1), 0, 0)
+    apply_records(ahead, listed, 0)
+    keys = [record.key for record in listed]
+    remove_unlisted(ahead, keys, rev(4, era=1), 0)
+    return behind, ahead
+
+
+def bodies_in(mesh_state):
+    return {
+        key: record.body
+        for key, record in mesh_state.records.by_key.items()
+        if record.body is not None
+    }
+
+
+def test_follower_learns_a_later_era_from_its_parent():
+    behind, ahead = restored_mesh_states()
+    assert send_feed(ahead, behind) < 1000
+    assert behind.revision == rev(4, era=1)
+    assert bodies_in(behind) == bodies_in(ahead)
+
+
+def test_records_of_an_earlier_era_are_gone_once_a_later_one_is_known():
+    _behind, ahead = restored_mesh_states()
+    known = ahead.records.by_key.values()
+    assert {record.revision.era for record in known} == {1}
+
+
+def test_feed_of_an_earlier_era_changes_and_confirms_nothing():
+    behind, ahead = restored_mesh_states()
+    before = bodies_in(ahead)
+    behind.confirmed_at = 9
+    raw = encode_feed(behind, FeedQuery(NO_REVISION), 9)
+    assert not apply_feed(ahead, decode_feed(raw).ok, 9, 9)
+    assert bodies_in(ahead) == before
+    assert (ahead.revision, ahead.confirmed_at) == (rev(4, era=1), 0)
+
+
+def test_feed_without_an_era_is_of_the_first_one():
+    _behind, ahead = restored_mesh_states()
+    document = decode_feed(encode_feed(ahead, FeedQuery(NO_REVISION), 0)).ok
+    document.pop('era')
+    assert not apply_feed(ahead, document, 0, 0)
+    first = mesh_state_with()
+    apply_feed(first, document, 0, 0)
+    assert first.revision == rev(4)
+
+
+def test_feed_of_a_later_era_is_refused_unless_it_lists_all_keys():
+    behind, ahead = restored_mesh_states()
+    raw = encode_feed(ahead, make_feed_query(behind, 0), 0)
+    document = decode_feed(raw).ok
+    document['listings'] = []
+    assert not apply_feed(behind, document, 0, 0)
+    assert behind.revision == rev(6)
+
+
+def test_query_without_an_era_gets_no_delta_after_a_restoration():
+    """The base would be another text with the same revision."""
+    uri = b'/-/marjoram/feed?after=4&bases=4&wait_ms=0'
+    assert decode_feed_query(uri, 0).ok == FeedQuery(
+        rev(4), frozenset((rev(4),))
+    )
+    assert decode_feed_query(uri, 2).ok == FeedQuery(rev(4, era=2))
+
+
+def test_bases_of_a_query_are_of_its_era():
+    _behind, ahead = restored_mesh_states()
+    query = make_feed_query(ahead, 0)
+    assert query.bases == {rev(4, era=1)}
+    assert decode_feed_query(encode_feed_query(query), 0).ok == query
+
+
+def test_delta_to_a_text_of_another_era_is_not_applied():
+    """Both texts have the same revision number."""
+    behind, ahead = restored_mesh_states()
+    raw = encode_feed(ahead, make_feed_query(behind, 0), 0)
+    document = decode_feed(raw).ok
+    changed = next(
+        each for each in document['records'] if each['key'] == 'op/config'
+    )
+    assert changed['base_era'] == 0
+    changed['base_era'] = 1
+    assert not apply_feed(behind, document, 0, 0)
+    assert behind.table.version == 1
--- a/tests/test_platform_mesh.py
+++ b/tests/test_platform_mesh.py
@@ -71,7 +71,8 @@
     mesh = ready_mesh('web', 'web')
     behind = mesh.hosts[0]
     note_reported_revision(
-        behind.sidecar.store_watcher, rev(mesh.store.revision + 1)
+        behind.sidecar.store_watcher,
+        rev(mesh.store.revision + 1, mesh.store.era),
     )
     sent = mesh.send(behind, '/none/x')
     mesh.advance(0.1)
