Restored store: what this node has known is not given up for the copy

Cause: the copy that the store is restored from has targets that left since, and lacks exclusions and targets that were written since. Nodes that had acknowledged these changes went back on them until they were written again.

A new module, restoration, decides for each record of the copy. Targets that were seen gone stay out until their entry is written again or has outlived its lease; draining ones stay out; older starts and shorter cold times do not replace known ones; targets that the copy lacks are held for two seconds; exclusions stay as known until operators write them again, for at most 10 s.

mesh_state is split: mesh_entries has the types of entries, mesh_updates the application of records. The moved code is unchanged but for the new rules.

--- a/marjoramlead/feed_client.py
+++ b/marjoramlead/feed_client.py
@@ -19,8 +19,8 @@
     records_from_feed,
 )
 from marjoramlead.generated.hop_types import FeedDocument
-from marjoramlead.mesh_state import (
-    MeshState,
+from marjoramlead.mesh_state import MeshState
+from marjoramlead.mesh_updates import (
     apply_records,
     confirm_revision,
     remove_unlisted,
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -20,7 +20,10 @@
     StreamRequest,
     make_site,
 )
-from marjoramlead.mesh_state import expire_held_targets
+from marjoramlead.mesh_updates import (
+    expire_held_targets,
+    settle_deferred_changes,
+)
 from marjoramlead.metrics import register_gauge
 from marjoramlead.peer_requests import handle_peer_request
 from marjoramlead.problems import BufferedResponse
@@ -222,8 +225,12 @@
 def _tick(sidecar: Sidecar) -> None:
     now = sidecar.reactor.seconds()
     expired_keys = expire_held_targets(sidecar.mesh_state, now)
+    settled_keys = settle_deferred_changes(sidecar.mesh_state, now)
     if expired_keys:
         emit('lapsed', keys=expired_keys)
+    if settled_keys:
+        emit('settled', keys=settled_keys)
+    if expired_keys or settled_keys:
         apply_mesh_changes(sidecar)
     if now >= sidecar.next_probe_at:
         sidecar.next_probe_at = now + PROBE_INTERVAL_S
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -1,26 +1,17 @@
 """The node's view of the mesh: routing, targets, excluded data centres.
 
-Records come from the platform's store, directly or through a peer. A record
-replaces one with the same key only if its revision is higher. The state
-therefore doesn't depend on the order in which records arrive, and an old
-record never replaces a newer one.
+``mesh_updates`` changes it by the records of the store.
 """
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
-from math import isfinite
 from typing import Final, NamedTuple
 
-from marjoramlead.record_log import (
-    Record,
-    RecordLog,
-    drop_older_tombstones,
-    mark_compacted,
-    put_record,
-    unlisted_records,
-)
+from marjoramlead.mesh_entries import ExcludedDataCentre, TargetEntry
+from marjoramlead.record_log import Record, RecordLog
+from marjoramlead.restoration import Restoration
 from marjoramlead.revisions import NO_REVISION, Revision
 from marjoramlead.routes import RoutingTable
 
@@ -29,30 +20,18 @@
     'ExcludedDataCentre',
     'MeshState',
     'Record',
+    'RecordDecoder',
     'TargetEntry',
-    'apply_records',
-    'confirm_revision',
-    'expire_held_targets',
+    'VersionReceipt',
+    'find_entry',
+    'find_superseded',
     'find_target_by_address',
     'is_leaving',
     'is_usable',
     'note_leaving',
-    'remove_unlisted',
     'routing_deadline',
 )
 
-# Targets whose entries expired during an outage of the store register again
-# within about two seconds of its return.
-REREGISTRATION_GRACE_S: Final = 2.0
-# A gap between confirmations that counts as an outage. Entries of live targets
-# expire after three seconds or more without the store.
-MIN_OUTAGE_S: Final = 2.0
-# Time for which other nodes may route by a table that this node has replaced.
-# It covers the debounce interval of a node that reads the store.
-OLD_TABLE_GRACE_S: Final = 0.5
-# Bound on the time from a change in the store until no node may route by the
-# table that it replaces.
-CHANGE_BOUND_S: Final = 2.0
 MAX_KNOWN_VERSIONS: Final = 64
 
 
@@ -69,40 +48,6 @@
     older_valid_until: float
 
 
-class TargetEntry(NamedTuple):
-    """The entry that a target has published in the store.
-
-    Attributes
-    ----------
-    address
-        IP address and port; reachable only from the target's own host.
-    slots
-        Maximum number of requests that the target runs at the same time.
-    started_ms
-        Time of the target's last start, in Unix milliseconds.
-    warmup_left_s
-        Seconds for which the target stays cold, counted from ``seen_at``.
-    seen_at
-        When this node received the entry, on its monotonic clock.
-    """
-
-    target_id: str
-    service: str
-    address: tuple[str, int]
-    data_centre: str
-    slots: int
-    is_draining: bool
-    started_ms: int
-    warmup_left_s: float
-    seen_at: float
-
-
-class ExcludedDataCentre(NamedTuple):
-    """A data centre that operators have taken out of service."""
-
-    data_centre: str
-
-
 DecodedRecord = RoutingTable | TargetEntry | ExcludedDataCentre | None
 RecordDecoder = Callable[[Record, float], DecodedRecord]
 
@@ -145,6 +90,8 @@
     leaving
         Ids and start times of the targets that have said in a response that
         they are about to stop.
+    restoration
+        What is kept against the copy that the store was restored from.
     refused_records
         Number of records that could not be used.
     """
@@ -166,102 +113,10 @@
     held_until: dict[str, float] = field(default_factory=dict)
     superseded: set[str] = field(default_factory=set)
     leaving: set[tuple[str, int]] = field(default_factory=set)
+    restoration: Restoration = field(default_factory=Restoration)
     refused_records: int = 0
 
 
-def apply_records(
-    mesh_state: MeshState,
-    records: Iterable[Record],
-    now: float,
-) -> list[Record]:
-    """Apply the records that are newer than the known ones.
-
-    Returns
-    -------
-    The records that were applied.
-    """
-    changed: list[Record] = []
-    for record in records:
-        if put_record(mesh_state.records, record):
-            _apply_record(mesh_state, record, now)
-            changed.append(record)
-    if changed:
-        mesh_state.superseded = _find_superseded(mesh_state)
-    return changed
-
-
-def remove_unlisted(
-    mesh_state: MeshState,
-    keys: Iterable[str],
-    revision: Revision,
-    now: float,
-    prefix: str = '',
-) -> list[Record]:
-    """Delete records that are missing from a listing of the store.
-
-    Records newer than the listing are kept. A record that was both created
-    and deleted before the listing gets no tombstone.
-
-    Parameters
-    ----------
-    mesh_state
-        State to change.
-    keys
-        Keys in the listing.
-    revision
-        Revision of the store when the listing began.
-    now
-        Current time on the node's monotonic clock.
-    prefix
-        Prefix of the keys that were listed.
-
-    Returns
-    -------
-    The deletions that were applied.
-    """
-    log = mesh_state.records
-    mark_compacted(log, prefix, revision)
-    deletions = [
-        Record(record.key, None, revision)
-        for record in unlisted_records(log, set(keys), prefix)
-        if record.revision < revision
-    ]
-    return apply_records(mesh_state, deletions, now)
-
-
-def confirm_revision(
-    mesh_state: MeshState, revision: Revision, confirmed_at: float, now: float
-) -> None:
-    """Record that all changes up to a revision are known.
-
-    Call this before the changes are applied, because deletions are treated
-    differently after an outage. A revision below the known one confirms
-    nothing: it was the newest before the known one.
-
-    Parameters
-    ----------
-    mesh_state
-        State to change.
-    revision
-        Revision of the store.
-    confirmed_at
-        When this revision was known to be the newest, on the node's
-        monotonic clock.
-    now
-        Current time on the same clock.
-    """
-    gap = confirmed_at - mesh_state.confirmed_at
-    if isfinite(gap) and gap > MIN_OUTAGE_S:
-        mesh_state.reconnected_at = now
-    if revision.era > mesh_state.revision.era:
-        drop_older_tombstones(mesh_state.records, revision.era)
-    if revision > mesh_state.revision:
-        mesh_state.unchanged_until = mesh_state.confirmed_at
-    if revision >= mesh_state.revision:
-        mesh_state.revision = revision
-        mesh_state.confirmed_at = max(mesh_state.confirmed_at, confirmed_at)
-
-
 def routing_deadline(mesh_state: MeshState, version: int) -> float:
     """Return until when requests may be received that a version routes.
 
@@ -278,26 +133,6 @@
     )
 
 
-def expire_held_targets(mesh_state: MeshState, now: float) -> list[str]:
-    """Remove targets that have not registered again after a store outage.
-
-    Returns
-    -------
-    The record keys of the removed targets.
-    """
-    expired = [
-        key
-        for key, grace_ends in mesh_state.held_until.items()
-        if grace_ends <= now
-    ]
-    for key in expired:
-        mesh_state.held_until.pop(key)
-        mesh_state.targets.pop(key, None)
-    if expired:
-        mesh_state.superseded = _find_superseded(mesh_state)
-    return expired
-
-
 def note_leaving(mesh_state: MeshState, entry: TargetEntry) -> None:
     """Record that a target is about to stop, until its next start."""
     current = {
@@ -350,12 +185,12 @@
     a held target is its deletion, whose revision doesn't tell when its entry
     was published; held targets therefore come before all others.
     """
-    return key not in mesh_state.held_until, mesh_state.records.by_key[
-        key
-    ].revision
+    if key in mesh_state.held_until:
+        return False, NO_REVISION
+    return True, mesh_state.records.by_key[key].revision
 
 
-def _find_superseded(mesh_state: MeshState) -> set[str]:
+def find_superseded(mesh_state: MeshState) -> set[str]:
     """Return ids of targets whose address was published again later."""
     keys = sorted(
         mesh_state.targets, key=partial(_publication_order, mesh_state)
@@ -368,47 +203,11 @@
     }
 
 
-def _apply_record(mesh_state: MeshState, record: Record, now: float) -> None:
-    if record.body is None:
-        _delete_record(mesh_state, record.key, now)
-        return
-    decoded = mesh_state.decode(record, now)
-    if isinstance(decoded, RoutingTable):
-        _replace_table(mesh_state, decoded, now)
-    elif isinstance(decoded, TargetEntry):
-        mesh_state.held_until.pop(record.key, None)
-        mesh_state.targets[record.key] = decoded
-    elif isinstance(decoded, ExcludedDataCentre):
-        mesh_state.excluded[decoded.data_centre] = record.key
-    else:
-        mesh_state.targets.pop(record.key, None)
-        mesh_state.refused_records += 1
-
-
-def _replace_table(
-    mesh_state: MeshState, table: RoutingTable, now: float
-) -> None:
-    if mesh_state.table is None or table.version > mesh_state.table.version:
-        older_valid_until = now + OLD_TABLE_GRACE_S
-        if isfinite(mesh_state.unchanged_until):
-            older_valid_until = min(
-                older_valid_until, mesh_state.unchanged_until + CHANGE_BOUND_S
-            )
-        mesh_state.table = table
-        mesh_state.table_received_at = now
-        mesh_state.received_versions.append(
-            VersionReceipt(table.version, older_valid_until)
-        )
-
-
-def _delete_record(mesh_state: MeshState, key: str, now: float) -> None:
-    """Remove what a record added; after a store outage, hold its target."""
-    entry = mesh_state.targets.get(key)
-    grace_ends = mesh_state.reconnected_at + REREGISTRATION_GRACE_S
-    if entry is not None and not entry.is_draining and now < grace_ends:
-        mesh_state.held_until[key] = grace_ends
-        return
-    mesh_state.targets.pop(key, None)
-    for data_centre, record_key in list(mesh_state.excluded.items()):
+def find_entry(
+    mesh_state: MeshState, key: str
+) -> TargetEntry | ExcludedDataCentre | None:
+    """Return what is in force by the record with a key."""
+    for data_centre, record_key in mesh_state.excluded.items():
         if record_key == key:
-            mesh_state.excluded.pop(data_centre)
+            return ExcludedDataCentre(data_centre)
+    return mesh_state.targets.get(key)
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -23,6 +23,7 @@
 from marjoramlead.mesh_state import MeshState, RecordDecoder
 from marjoramlead.metrics import Metrics
 from marjoramlead.placement import BalancerState
+from marjoramlead.restoration import Restoration
 from marjoramlead.routes import RoundRobinState
 from marjoramlead.sidecar_config import SidecarConfig
 from marjoramlead.store_watcher import (
@@ -46,6 +47,8 @@
 # Idle connections to the target are not reused after this time, because the
 # target may have closed them.
 TARGET_IDLE_TIMEOUT_S: Final = 4.0
+# Heartbeats of a target that are missed until the store removes its entry.
+LEASE_HEARTBEATS: Final = 3
 
 
 class PlatformAdapter(NamedTuple):
@@ -122,7 +125,10 @@
     """Assemble the parts of a node, without opening any port."""
     metrics = Metrics()
     connect = adapter.connect
-    mesh_state = MeshState(adapter.decode_record)
+    mesh_state = MeshState(
+        adapter.decode_record,
+        restoration=Restoration(LEASE_HEARTBEATS * config.heartbeat_s),
+    )
     gate = TargetGate(
         config.target,
         mesh_state,
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -25,8 +25,8 @@
 from marjoramlead.feed_client import FeedClient, apply_feed, read_feed
 from marjoramlead.feeds import make_feed_query
 from marjoramlead.generated.hop_types import FeedDocument
-from marjoramlead.mesh_state import (
-    MeshState,
+from marjoramlead.mesh_state import MeshState
+from marjoramlead.mesh_updates import (
     apply_records,
     confirm_revision,
     remove_unlisted,
--- a/tests/test_config_after_change.py
+++ b/tests/test_config_after_change.py
@@ -18,7 +18,7 @@
     decode_report,
     encode_job,
 )
-from marjoramlead.mesh_state import (
+from marjoramlead.mesh_updates import (
     CHANGE_BOUND_S,
     OLD_TABLE_GRACE_S,
     apply_records,
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -21,8 +21,8 @@
     make_feed_query,
 )
 from marjoramlead.lifecycle import drain_sidecar
-from marjoramlead.mesh_state import (
-    MeshState,
+from marjoramlead.mesh_state import MeshState
+from marjoramlead.mesh_updates import (
     apply_records,
     confirm_revision,
     remove_unlisted,
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -7,10 +7,12 @@
     ExcludedDataCentre,
     MeshState,
     TargetEntry,
-    apply_records,
-    expire_held_targets,
     find_target_by_address,
     is_usable,
+)
+from marjoramlead.mesh_updates import (
+    apply_records,
+    expire_held_targets,
     remove_unlisted,
 )
 from marjoramlead.record_log import Record, records_after
