--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -24,6 +24,7 @@
     'delete',
     'handle_store',
     'put',
+    'refuse_call',
     'restore',
     'snapshot',
 )
@@ -44,6 +45,8 @@
         Revision of the last change.
     era
         Number of restorations, counted from 1; sent in all responses.
+    reused_until
+        Revisions up to this one were given out in an earlier era.
     records
         Current records by key.
     history
@@ -62,6 +65,7 @@
     reactor: Clock
     revision: int = 1
     era: int = 1
+    reused_until: int = 0
     records: dict[str, JsonObject] = field(default_factory=dict)
     history: list[JsonObject] = field(default_factory=list)
     compacted_revision: int = 0
@@ -108,6 +112,7 @@
     report the changes whose revisions are given out again until then.
     """
     store.era += 1
+    store.reused_until = max(store.reused_until, store.revision)
     store.revision = copy.revision
     store.records = dict(copy.records)
     store.history = list(copy.history)
@@ -164,6 +169,12 @@
         _respond(store, req, HTTPStatus.NOT_FOUND)
 
 
+def refuse_call(store: StoreStandIn, req: StreamRequest) -> None:
+    """Refuse one call, as the store does to some of the hosts."""
+    store.calls += 1
+    _respond(store, req, HTTPStatus.SERVICE_UNAVAILABLE)
+
+
 def _encode(document: object) -> bytes:
     return json.dumps(document).encode()
 
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -18,11 +18,19 @@
 from marjoramlead.sidecar import PlatformAdapter, Sidecar, build_sidecar
 from marjoramlead.sidecar_config import SidecarConfig
 from marjoramlead.upstream import ConnectionPool, OutgoingRequest, send
-from standins.platform_store import StoreStandIn, delete, handle_store, put
+from standins.platform_store import (
+    StoreStandIn,
+    delete,
+    handle_store,
+    put,
+    refuse_call,
+)
 from standins.platform_target import TargetStandIn, handle_target
 from tests.memory_net import MemoryNet
 
 STORE = ('10.200.0.1', 8309)
+# The store as seen by hosts that it refuses.
+REFUSING_STORE = ('10.200.0.2', 8309)
 OUTBOUND, INBOUND, READY, TARGET = 8304, 8300, 8302, 8301
 METRICS = 9464
 BUDGET = MeshRetryBudgetConfig(ratio=0.2, slack=60, window_s=10)
@@ -103,10 +111,20 @@
 
 @dataclass
 class PlatformMesh:
-    """All hosts, the store and the network between them."""
+    """All hosts, the store and the network between them.
+
+    Attributes
+    ----------
+    refused
+        Addresses of the hosts that the store refuses.
+    store_connections
+        Connections to the store by the address of their host.
+    """
 
     net: MemoryNet = field(default_factory=MemoryNet)
     hosts: list[Host] = field(default_factory=list)
+    refused: set[str] = field(default_factory=set)
+    store_connections: dict = field(default_factory=dict)
     exchange_count: int = 0
     link_bytes_per_s: float = 125e6
 
@@ -118,6 +136,10 @@
             lambda req: handle_store(self.store, req),
             self.reactor,
         )
+        self.net.sites[REFUSING_STORE] = make_site(
+            lambda req: refuse_call(self.store, req),
+            self.reactor,
+        )
 
     def connect(self, _reactor, address, protocol):
         """Connect in memory, or fail if the address refuses connections."""
@@ -125,6 +147,38 @@
         factory.buildProtocol = lambda _address: protocol
         return self.net.open(address, factory)
 
+    def connect_store(self, host: Host):
+        """Return a function that connects a host to the store."""
+        connections = self.store_connections.setdefault(host.address, [])
+
+        def connect(reactor, address, protocol):
+            if host.address in self.refused:
+                address = REFUSING_STORE
+            known = len(self.net.connections)
+            connecting = self.connect(reactor, address, protocol)
+            connections.extend(self.net.connections[known:])
+            return connecting
+
+        return connect
+
+    def refuse_store(self, host: Host) -> None:
+        """Let the store refuse a host's calls, and cut its connections."""
+        self.refused.add(host.address)
+        self.cut_store(host)
+
+    def serve_store(self, host: Host) -> None:
+        """Let the store serve a host again."""
+        self.refused.discard(host.address)
+        self.cut_store(host)
+
+    def cut_store(self, host: Host) -> None:
+        """Abort a host's open connections to the store."""
+        connections = self.store_connections[host.address]
+        for connection in connections:
+            connection.server.abortConnection()
+        connections.clear()
+        self.net.pump()
+
     def add_host(
         self, service: str, data_centre: str = 'a', **target_options
     ) -> Host:
@@ -165,7 +219,7 @@
             PLATFORM_HEADER_NAMES,
             decode_record,
             lambda metrics: PlatformStore(
-                self.reactor, STORE, metrics, self.connect
+                self.reactor, STORE, metrics, self.connect_store(host)
             ),
             lambda: None,
             parent_request_id,
