404 or 503: newer routes that another node has used, or that may be lost

Cause: a node answered 404 by a table that is older than that of the node from which it gets jobs, and by the word of the copy while a version that had been acknowledged was lost with the store.

--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -22,7 +22,7 @@
 from marjoramlead.http_server import StreamRequest
 from marjoramlead.ledger import Outcome
 from marjoramlead.mesh_retry_budget import record_request
-from marjoramlead.mesh_state import MeshState
+from marjoramlead.mesh_state import MeshState, may_lack_routes
 from marjoramlead.offer_state import OVERLOAD_REASONS
 from marjoramlead.problems import BufferedResponse
 from marjoramlead.refusals import RecentRefusals, record_refusal
@@ -221,8 +221,8 @@
 
 def _refuse_unknown_route(mesh_state: MeshState, now: float) -> Refusal:
     """Answer 404 only if the routing table is known to be current."""
-    is_behind = mesh_state.reported_revision > mesh_state.revision
-    if is_behind or now > mesh_state.confirmed_at + MAX_TABLE_AGE_S:
+    is_old = now > mesh_state.confirmed_at + MAX_TABLE_AGE_S
+    if is_old or may_lack_routes(mesh_state, now):
         return Refusal(Reason.NOT_READY, Verdict.NOT_RUN)
     return Refusal(Reason.NO_ROUTE, Verdict.NOT_RUN, 0)
 
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -28,7 +28,9 @@
     'find_target_by_address',
     'is_leaving',
     'is_usable',
+    'may_lack_routes',
     'note_leaving',
+    'note_reported_version',
     'routing_deadline',
 )
 
@@ -74,6 +76,8 @@
         Revision of the store up to which this node knows all changes.
     reported_revision
         Highest revision that another node has reported.
+    reported_version
+        Highest version of the routing table that another node has used.
     confirmed_at
         When ``revision`` was last known to be the newest.
     unchanged_until
@@ -107,6 +111,7 @@
     records: RecordLog = field(default_factory=RecordLog)
     revision: Revision = NO_REVISION
     reported_revision: Revision = NO_REVISION
+    reported_version: int = 0
     confirmed_at: float = float('-inf')
     unchanged_until: float = float('-inf')
     reconnected_at: float = float('-inf')
@@ -133,6 +138,27 @@
     )
 
 
+def note_reported_version(mesh_state: MeshState, version: int | None) -> None:
+    """Note the version of the routing table that another node has used."""
+    if version is not None:
+        mesh_state.reported_version = max(mesh_state.reported_version, version)
+
+
+def may_lack_routes(mesh_state: MeshState, now: float) -> bool:
+    """Return whether a newer routing table is known to exist, or may be lost.
+
+    Other nodes may have heard of it, or it may have been written to the store
+    and lost when the store was restored.
+    """
+    table = mesh_state.table
+    return (
+        table is None
+        or mesh_state.reported_version > table.version
+        or mesh_state.reported_revision > mesh_state.revision
+        or now < mesh_state.restoration.routes_settle_at
+    )
+
+
 def note_leaving(mesh_state: MeshState, entry: TargetEntry) -> None:
     """Record that a target is about to stop, until its next start."""
     current = {
--- a/marjoramlead/mesh_updates.py
+++ b/marjoramlead/mesh_updates.py
@@ -33,6 +33,7 @@
     forget_copy,
     is_from_copy,
     note_departure,
+    note_new_routes,
     take_settled,
 )
 from marjoramlead.revisions import NO_REVISION, Revision
@@ -200,7 +201,7 @@
     if mesh_state.revision == NO_REVISION:
         return
     drop_older_tombstones(mesh_state.records, revision.era)
-    enter_era(mesh_state.restoration, revision)
+    enter_era(mesh_state.restoration, revision, now)
     mesh_state.reconnected_at = now
 
 
@@ -214,7 +215,9 @@
         forget_copy(mesh_state.restoration, key)
     decoded = mesh_state.decode(record, now)
     if isinstance(decoded, RoutingTable):
-        _replace_table(mesh_state, decoded, now)
+        is_newer = _replace_table(mesh_state, decoded, now)
+        if is_newer or not is_copied:
+            note_new_routes(mesh_state.restoration)
     elif decoded is None:
         mesh_state.targets.pop(key, None)
         mesh_state.refused_records += 1
@@ -241,18 +244,21 @@
 
 def _replace_table(
     mesh_state: MeshState, table: RoutingTable, now: float
-) -> None:
-    if mesh_state.table is None or table.version > mesh_state.table.version:
-        older_valid_until = now + OLD_TABLE_GRACE_S
-        if isfinite(mesh_state.unchanged_until):
-            older_valid_until = min(
-                older_valid_until, mesh_state.unchanged_until + CHANGE_BOUND_S
-            )
-        mesh_state.table = table
-        mesh_state.table_received_at = now
-        mesh_state.received_versions.append(
-            VersionReceipt(table.version, older_valid_until)
+) -> bool:
+    """Put a newer routing table in force; return whether it is newer."""
+    if mesh_state.table and table.version <= mesh_state.table.version:
+        return False
+    older_valid_until = now + OLD_TABLE_GRACE_S
+    if isfinite(mesh_state.unchanged_until):
+        older_valid_until = min(
+            older_valid_until, mesh_state.unchanged_until + CHANGE_BOUND_S
         )
+    mesh_state.table = table
+    mesh_state.table_received_at = now
+    mesh_state.received_versions.append(
+        VersionReceipt(table.version, older_valid_until)
+    )
+    return True
 
 
 def _delete_record(mesh_state: MeshState, record: Record, now: float) -> None:
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -35,6 +35,7 @@
 from marjoramlead.http_server import StreamRequest, expects_continue
 from marjoramlead.incoming_body import IncomingBody
 from marjoramlead.ledger import Outcome, query_outcome
+from marjoramlead.mesh_state import note_reported_version
 from marjoramlead.problems import BufferedResponse
 from marjoramlead.replies import response_from_reply
 from marjoramlead.target_gate import TargetGate, not_run_refusal
@@ -87,6 +88,7 @@
         return
     req.channel.transport.write(ACKNOWLEDGEMENT)
     terms = decoded.ok
+    note_reported_version(gate.mesh_state, terms.get('version'))
     serving = _serve_job(gate, req, terms)
     _respond_when_done(gate, req, terms['route'], serving)
 
--- a/marjoramlead/restoration.py
+++ b/marjoramlead/restoration.py
@@ -27,6 +27,7 @@
     'forget_copy',
     'is_from_copy',
     'note_departure',
+    'note_new_routes',
     'take_settled',
 )
 
@@ -87,17 +88,26 @@
         Deletions that this node has seen, by record key, the oldest first.
     deferred
         Records of the copy that are not in force yet, by record key.
+    routes_settle_at
+        Until when operators may have to write routes again.
     """
 
     lease_s: float = 0
     first_revision: Revision = NO_REVISION
     departures: dict[str, Departure] = field(default_factory=dict)
     deferred: dict[str, Deferral] = field(default_factory=dict)
+    routes_settle_at: float = float('-inf')
 
 
-def enter_era(restoration: Restoration, revision: Revision) -> None:
+def enter_era(restoration: Restoration, revision: Revision, now: float) -> None:
     """Note the first revision that this node reads of a later era."""
     restoration.first_revision = revision
+    restoration.routes_settle_at = now + OPERATOR_SETTLE_S
+
+
+def note_new_routes(restoration: Restoration) -> None:
+    """Note that operators have written the routing table again."""
+    restoration.routes_settle_at = float('-inf')
 
 
 def is_from_copy(restoration: Restoration, revision: Revision) -> bool:
--- a/tests/test_mesh_updates.py
+++ b/tests/test_mesh_updates.py
@@ -8,6 +8,7 @@
     MeshState,
     TargetEntry,
     is_usable,
+    may_lack_routes,
     note_leaving,
 )
 from marjoramlead.mesh_updates import (
@@ -27,6 +28,7 @@
     Restoration,
     note_departure,
 )
+from marjoramlead.routes import ClientLimits, RoutingTable
 from tests.samples import rev
 
 LEASE_S = 4.5
@@ -36,12 +38,15 @@
 ENTRY_SETTLES_AT = RESTORED_AT + LEASE_S + LEASE_MARGIN_S
 EXCLUSION_SETTLES_AT = RESTORED_AT + OPERATOR_SETTLE_S
 OUT = 'out/a'
+CONFIG = 'config'
 
 
 def decode(record, now):
-    """Decode ``out/X`` as an excluded data centre, others as a target."""
+    """Decode exclusions, routes and targets by their keys."""
     if record.key.startswith('out/'):
         return ExcludedDataCentre(record.key[4:])
+    if record.key == CONFIG:
+        return RoutingTable(int(record.body), {}, {}, ClientLimits())
     state, started_ms, warmup_s = record.body.decode().split()
     address = ('10.0.0.1', int(record.key[1:]))
     return TargetEntry(
@@ -322,3 +327,28 @@
     assert 't4' not in restoration.departures
     note_departure(restoration, 't', DEPARTURE_MEMORY_S)
     assert set(restoration.departures) == {'t'}
+
+
+def test_routes_may_be_lost_until_operators_can_write_them():
+    mesh_state = known_records()
+    change(mesh_state, CONFIG, b'3')
+    assert not may_lack_routes(mesh_state, CHANGED_AT)
+    restore(mesh_state, config=b'2')
+    assert may_lack_routes(mesh_state, EXCLUSION_SETTLES_AT - 0.1)
+    assert not may_lack_routes(mesh_state, EXCLUSION_SETTLES_AT)
+
+
+@pytest.mark.parametrize('version', [b'3', b'4'])
+def test_routes_that_are_written_again_are_settled(version):
+    mesh_state = known_records()
+    change(mesh_state, CONFIG, b'3')
+    restore(mesh_state, config=b'2')
+    write_again(mesh_state, CONFIG, version)
+    assert not may_lack_routes(mesh_state, WRITTEN_AGAIN_AT)
+
+
+def test_newer_routes_in_the_copy_are_settled():
+    mesh_state = known_records()
+    change(mesh_state, CONFIG, b'3')
+    restore(mesh_state, config=b'4')
+    assert not may_lack_routes(mesh_state, RESTORED_AT)
--- a/tests/test_platform_mesh.py
+++ b/tests/test_platform_mesh.py
@@ -80,6 +80,23 @@
     assert sent.header(b'retry-after')
 
 
+def test_unknown_route_is_unavailable_if_another_node_has_newer_routes():
+    mesh = ready_mesh('web', 'web')
+    ahead = mesh.hosts[1].sidecar.mesh_state
+    ahead.table = ahead.table._replace(version=2)
+    for _request in range(8):
+        mesh.send(mesh.hosts[1])
+        mesh.advance(0.05)
+    refused = mesh.send(mesh.hosts[0], '/none/x')
+    mesh.advance(0.1)
+    assert refused.status == 503
+    mesh.configure(2)
+    mesh.advance(2)
+    unknown = mesh.send(mesh.hosts[0], '/none/x')
+    mesh.advance(0.1)
+    assert unknown.status == 404
+
+
 def test_unknown_route_is_unavailable_once_the_table_may_be_replaced():
     mesh = ready_mesh('web', 'web')
     mesh.store.is_silent = True
