--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -170,6 +170,7 @@
         'service': sidecar.config.service,
         'version': mesh_state.table.version if mesh_state.table else 0,
         'revision': mesh_state.revision.number,
+        'era': mesh_state.revision.era,
         'news_age_s': min(now - mesh_state.confirmed_at, MAX_REPORTED_AGE_S),
         'store_failures': sidecar.store_watcher.failures,
         'stopping': sidecar.frontend.shutdown is not None,
@@ -215,6 +216,11 @@
         'Store revision that this node has reached.',
         lambda: mesh_state.revision.number,
     )
+    register(
+        'store_era',
+        'Number of restorations of the store, as this node knows it.',
+        lambda: mesh_state.revision.era,
+    )
     register(
         'version',
         'Version of the current routing table.',
--- a/marjoramlead/platform/decoding.py
+++ b/marjoramlead/platform/decoding.py
@@ -62,6 +62,7 @@
             'record_refused',
             key=record.key,
             revision=record.revision.number,
+            era=record.revision.era,
             reason=f'{type(exc).__name__}: {exc}',
         )
     return None
--- a/marjoramlead/rendering.py
+++ b/marjoramlead/rendering.py
@@ -129,6 +129,7 @@
     yield f'{status["data_centre"]}/{status["host"]}  {status["service"]}'
     yield (
         f'  version {status["version"]:08x}  revision {status["revision"]}  '
+        f'era {status.get("era", 0)}  '
         f'store data {status["news_age_s"]:.1f} s old  '
         f'store failures {status["store_failures"]}'
     )
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -33,6 +33,7 @@
 )
 from marjoramlead.record_log import Record
 from marjoramlead.revisions import NO_REVISION, Revision, may_follow
+from marjoramlead.update_log import log_changes, log_restoration
 
 __all__ = (
     'FeedAddresses',
@@ -211,7 +212,13 @@
 def _check_reported_revision(watcher: StoreWatcher, revision: Revision) -> None:
     if watcher.mesh_state.revision < revision:
         known = watcher.mesh_state.revision
-        emit('behind', known=known.number, heard=revision.number)
+        emit(
+            'behind',
+            known=known.number,
+            era=known.era,
+            heard=revision.number,
+            heard_era=revision.era,
+        )
         _start_peer_query(watcher)
 
 
@@ -321,6 +328,7 @@
         emit('store_regained', failures=watcher.failures)
     watcher.failures = 0
     made_at = min(sent_at + update.held_s, now)
+    known = watcher.mesh_state.revision
     confirm_revision(watcher.mesh_state, update.revision, made_at, now)
     changed = apply_records(watcher.mesh_state, update.records, now)
     if update.listed_prefix is not None:
@@ -333,6 +341,7 @@
             update.listed_prefix,
         )
     watcher.after = max(watcher.after, update.revision)
+    log_restoration(watcher.mesh_state, known, 'store')
     _log_and_notify(watcher, changed, 'store')
 
 
@@ -340,12 +349,17 @@
     if watcher.origin != origin:
         watcher.origin = origin
         known = watcher.mesh_state.revision
-        emit('source', origin=origin, revision=known.number)
+        emit('source', origin=origin, revision=known.number, era=known.era)
 
 
 async def _on_fault(watcher: StoreWatcher, fault: Fault) -> None:
     if fault.path == 'history':
-        emit('store_history_lost', after=watcher.after.number)
+        emit(
+            'store_history_lost',
+            reason=fault.reason,
+            after=watcher.after.number,
+            era=watcher.after.era,
+        )
         watcher.after = NO_REVISION
         return
     if not watcher.failures:
@@ -353,6 +367,7 @@
             'store_lost',
             reason=fault.reason,
             revision=watcher.mesh_state.revision.number,
+            era=watcher.mesh_state.revision.era,
         )
     watcher.failures += 1
     alternate = _first_usable(watcher, watcher.feed_sources().alternates)
@@ -397,9 +412,11 @@
     watcher: StoreWatcher, document: FeedDocument, origin: str, sent_at: float
 ) -> None:
     now = watcher.reactor.seconds()
+    known = watcher.mesh_state.revision
     changed = apply_feed(watcher.mesh_state, document, sent_at, now)
     if watcher.after != NO_REVISION:
         watcher.after = max(watcher.after, watcher.mesh_state.revision)
+    log_restoration(watcher.mesh_state, known, origin)
     _log_and_notify(watcher, changed, origin)
 
 
@@ -409,26 +426,11 @@
     origin: str,
 ) -> None:
     if changed:
-        _log_changes(watcher, changed, origin)
+        log_changes(watcher.mesh_state, changed, origin)
         watcher.on_change()
     watcher.on_confirm()
 
 
-def _log_changes(
-    watcher: StoreWatcher, changed: list[Record], origin: str
-) -> None:
-    table = watcher.mesh_state.table
-    emit(
-        'news',
-        origin=origin,
-        revision=watcher.mesh_state.revision.number,
-        keys=[record.key for record in changed[:10]],
-        count=len(changed),
-        bytes=sum(len(record.body or b'') for record in changed),
-        version=table.version if table else 0,
-    )
-
-
 def _age_ms(watcher: StoreWatcher, now: float) -> int:
     age = min(now - watcher.mesh_state.confirmed_at, MAX_LOGGED_AGE_S)
     return round(age * MS_PER_SECOND)
--- a/tests/test_sidecar_status.py
+++ b/tests/test_sidecar_status.py
@@ -51,6 +51,7 @@
     assert status['news_age_s'] < 5
     shown = '\n'.join(sidecar_lines(status))
     assert 'data centres out: b' in shown
+    assert f'era {mesh.store.era} ' in shown
     assert 'draining' in shown
 
 
