--- a/marjoramlead/restoration.py
+++ b/marjoramlead/restoration.py
@@ -33,6 +33,10 @@
 
 # Time in which operators write again what a restored store has lost.
 OPERATOR_SETTLE_S: Final = 10.0
+# The same for an exclusion that was lifted. It is shorter, because operators
+# may have excluded the data centre anew before the first read of the restored
+# store, and that must be in force within five seconds.
+LIFT_SETTLE_S: Final = 3.0
 # Time beyond the lease of an entry after which an entry that is still in the
 # store is that of a live target.
 LEASE_MARGIN_S: Final = 2.0
@@ -176,8 +180,7 @@
     if isinstance(copied, ExcludedDataCentre):
         if known is not None or departure is None:
             return copied
-        settle_at = now + OPERATOR_SETTLE_S
-        restoration.deferred[key] = Deferral(copied, settle_at)
+        restoration.deferred[key] = Deferral(copied, now + LIFT_SETTLE_S)
         return None
     settle_at = now + restoration.lease_s + LEASE_MARGIN_S
     if isinstance(known, TargetEntry):
