--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -44,7 +44,9 @@
     revision
         Revision of the last change.
     era
-        Number of restorations, counted from 1; sent in all responses.
+        Number of restorations, counted from 1.
+    sends_era
+        Whether all responses carry the era.
     reused_until
         Revisions up to this one were given out in an earlier era.
     records
@@ -65,6 +67,7 @@
     reactor: Clock
     revision: int = 1
     era: int = 1
+    sends_era: bool = True
     reused_until: int = 0
     records: dict[str, JsonObject] = field(default_factory=dict)
     history: list[JsonObject] = field(default_factory=list)
@@ -260,7 +263,9 @@
 def _respond(
     store: StoreStandIn, req: StreamRequest, status: int, body: bytes = b''
 ) -> None:
-    headers = Headers({ERA_HEADER: [str(store.era).encode()]})
+    headers = Headers()
+    if store.sends_era:
+        headers.setRawHeaders(ERA_HEADER, [str(store.era).encode()])
     if body:
         headers.setRawHeaders(b'Content-Type', [b'application/json'])
     req.send_response(BufferedResponse(status, headers, body))
