--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -13,10 +13,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from marjoramlead.store_watcher import LONG_POLL_S
 from standins.platform_store import delete, put, restore, snapshot
 from tests.memory_net import STEP_S
-from tests.platform_mesh import STORE, ready_mesh, route
+from tests.platform_mesh import STORE, PlatformMesh, ready_mesh, route
 from tests.test_config_after_change import (
     delay_store_answers,
     read_nothing,
@@ -476,28 +475,46 @@
             assert host.sidecar.mesh_state.table.version == version
 
 
+def record_feed_connections(mesh, host):
+    """Return a list of the connections over which a node reads others."""
+    connections = []
+    feed_client = host.sidecar.store_watcher.feed_client
+    connect = feed_client.connect
+
+    def record(*arguments):
+        known = len(mesh.net.connections)
+        connecting = connect(*arguments)
+        connections.extend(mesh.net.connections[known:])
+        return connecting
+
+    feed_client.connect = record
+    feed_client.pools.clear()
+    return connections
+
+
 def test_follower_hears_of_an_era_first_from_a_response_of_another_node():
     """It must not answer 404 by records that another node has replaced."""
     mesh = fleet()
+    follower = next(host for host in mesh.hosts if parent(host))
+    connections = record_feed_connections(mesh, follower)
     copy = snapshot(mesh.store)
     for version in range(2, 7):
         mesh.configure(version)
         mesh.advance(0.7)
-    mesh.advance(1)
-    follower = next(host for host in mesh.hosts if parent(host))
+    mesh.advance(2)
     read_nothing(follower)
-    mesh.advance(LONG_POLL_S)
+    for connection in connections:
+        connection.is_silent = True
     restore(mesh.store, copy)
     mesh.configure(7, routes=ADDED)
     assert reuses_revision(mesh)
-    for host in mesh.hosts:
-        mesh.cut_store(host)
-    mesh.advance(0.4)
-    heard = [mesh.send(follower) for _request in range(12)]
-    mesh.advance(0.3)
-    assert statuses(heard) == {200}
+    for _step in range(8):
+        heard = send_from_all(mesh)
+        heard.extend(mesh.send(follower) for _request in range(5))
+        mesh.advance(0.15)
+        assert statuses(heard) == {200}
     sent = mesh.send(follower, '/added/x')
-    mesh.advance(0.01)
+    mesh.advance(STEP_S)
     assert follower.sidecar.mesh_state.table.version == 6
     assert sent.status == 503
 
@@ -705,10 +722,20 @@
     assert calls_per_reader_and_s / 10 <= 1.5
 
 
+def fleet_without_the_header():
+    """Start hosts with a store that sends no era."""
+    mesh = PlatformMesh()
+    mesh.store.sends_era = False
+    mesh.configure()
+    for number in range(HOSTS):
+        mesh.add_host('web', 'ab'[number % 2])
+    mesh.advance(4)
+    return mesh
+
+
 def test_store_without_the_header_is_read_as_in_one_era():
     """Some stores send it only where restorations are planned."""
-    mesh = fleet()
-    mesh.store.sends_era = False
+    mesh = fleet_without_the_header()
     for version in range(2, 5):
         mesh.configure(version)
         mesh.advance(IN_FORCE_S)
@@ -718,10 +745,23 @@
     assert not requests_within(mesh, mesh.hosts[0], 1)
 
 
+def test_header_that_appears_with_the_restoration_is_a_new_era():
+    mesh = fleet_without_the_header()
+    copy = snapshot(mesh.store)
+    for version in range(2, 7):
+        mesh.configure(version)
+        mesh.advance(0.7)
+    restore_after(mesh, copy, 0.5)
+    mesh.store.sends_era = True
+    mesh.configure(7)
+    assert reuses_revision(mesh)
+    mesh.advance(CONTACT_S)
+    assert versions(mesh) == {7}
+
+
 @pytest.mark.parametrize('sends_era', [False, True])
 def test_lost_history_without_a_restoration_takes_nothing_back(sends_era):
-    mesh = fleet()
-    mesh.store.sends_era = sends_era
+    mesh = fleet() if sends_era else fleet_without_the_header()
     mesh.configure(2, routes=ADDED)
     mesh.advance(IN_FORCE_S)
     lose_store(mesh)
