--- a/marjoramlead/feeds.py
+++ b/marjoramlead/feeds.py
@@ -6,6 +6,7 @@
 there are none.
 """
 
+from collections.abc import Mapping
 from typing import Final, NamedTuple
 from urllib.parse import parse_qs, urlencode
 
@@ -29,6 +30,7 @@
     large_record_revisions,
     records_after,
 )
+from marjoramlead.revisions import NO_REVISION, Revision
 
 __all__ = (
     'FEED_PATH',
@@ -37,6 +39,7 @@
     'decode_feed_query',
     'encode_feed',
     'encode_feed_query',
+    'feed_revision',
     'make_feed_query',
     'records_from_feed',
 )
@@ -56,45 +59,56 @@
     after
         Revision up to which the receiver knows all changes.
     bases
-        Revisions of the versions of large records that the receiver has.
+        Revisions of the versions of large records that the receiver has, of
+        the era of ``after``.
     wait_s
         Longest time of a long poll; 0 for an immediate answer.
     """
 
-    after: int
-    bases: frozenset[int] = frozenset()
+    after: Revision
+    bases: frozenset[Revision] = frozenset()
     wait_s: float = 0
 
 
 def make_feed_query(mesh_state: MeshState, wait_s: float) -> FeedQuery:
     """Return the query for what a node does not know yet."""
-    return FeedQuery(
-        mesh_state.revision, large_record_revisions(mesh_state.records), wait_s
-    )
+    revision = mesh_state.revision
+    bases = large_record_revisions(mesh_state.records)
+    of_this_era = frozenset(base for base in bases if base.era == revision.era)
+    return FeedQuery(revision, of_this_era, wait_s)
 
 
 def encode_feed_query(query: FeedQuery) -> bytes:
     """Return the path and query string of a feed read."""
     parameters = {
-        'after': query.after,
-        'bases': ','.join(map(str, sorted(query.bases))),
+        'after': query.after.number,
+        'era': query.after.era,
+        'bases': ','.join(str(base.number) for base in sorted(query.bases)),
         'wait_ms': round(query.wait_s * MS_PER_SECOND),
     }
     encoded = urlencode(parameters, safe=',').encode()
     return b'%b?%b' % (FEED_PATH, encoded)
 
 
-def decode_feed_query(uri: bytes) -> Result[FeedQuery, Fault]:
-    """Decode the query string of a feed read."""
+def decode_feed_query(uri: bytes, own_era: int) -> Result[FeedQuery, Fault]:
+    """Decode the query string of a feed read.
+
+    A node of an earlier version does not say of which era its revisions are.
+    It is taken for the era of the node that answers, ``own_era``. If that may
+    be wrong, no delta is sent, because the base may be another text.
+    """
     raw = uri.partition(b'?')[2].decode('latin-1')
     parameters = {name: texts[0] for name, texts in parse_qs(raw).items()}
+    bases = parameters.get('bases', '').split(',')
+    if own_era != NO_REVISION.era and 'era' not in parameters:
+        bases = []
     try:
         return Ok(
             FeedQuery(
-                int(parameters.get('after', 0)),
+                _decode_after(parameters, own_era),
                 frozenset(
-                    int(base)
-                    for base in parameters.get('bases', '').split(',')
+                    Revision(int(parameters.get('era', own_era)), int(base))
+                    for base in bases
                     if base
                 ),
                 int(parameters.get('wait_ms', 0)) / MS_PER_SECOND,
@@ -104,6 +118,13 @@
         return Error(Fault('feed query', str(exc)))
 
 
+def _decode_after(parameters: Mapping[str, str], own_era: int) -> Revision:
+    number = int(parameters.get('after', 0))
+    if not number:
+        return NO_REVISION
+    return Revision(int(parameters.get('era', own_era)), number)
+
+
 def encode_feed(
     mesh_state: MeshState, query: FeedQuery, now: float, held_s: float = 0
 ) -> bytes:
@@ -112,7 +133,8 @@
     ``held_s`` is the time between the arrival of the query and this answer.
     """
     document: FeedDocument = {
-        'revision': mesh_state.revision,
+        'revision': mesh_state.revision.number,
+        'era': mesh_state.revision.era,
         'age_s': min(now - mesh_state.confirmed_at, MAX_AGE_S),
         'held_s': held_s,
         'listings': _encode_listings(mesh_state.records, query.after),
@@ -132,20 +154,35 @@
         return Error(Fault('feed', str(exc)))
 
 
+def feed_revision(document: FeedDocument) -> Revision:
+    """Return the revision that a feed leads up to.
+
+    A node of an earlier version knows no eras; its records are taken for those
+    of a store that was never restored.
+    """
+    return Revision(document.get('era', NO_REVISION.era), document['revision'])
+
+
 def records_from_feed(
     mesh_state: MeshState, document: FeedDocument
 ) -> Result[list[Record], Fault]:
-    """Return the records in a feed, with all deltas applied."""
+    """Return the records in a feed, with all deltas applied.
+
+    All records that exist in an era have been listed in it, so that their
+    revisions are of the same era as that of the feed.
+    """
     records: list[Record] = []
+    era = feed_revision(document).era
     for each in document['records']:
         body = _decode_body(mesh_state.records, each)
         if body.is_error():
             return Error(body.error)
-        records.append(Record(each['key'], body.ok, each['revision']))
+        revision = Revision(era, each['revision'])
+        records.append(Record(each['key'], body.ok, revision))
     return Ok(records)
 
 
-def _encode_listings(log: RecordLog, after: int) -> list[FeedListing]:
+def _encode_listings(log: RecordLog, after: Revision) -> list[FeedListing]:
     """List the keys among which a deletion may be unknown to this node."""
     return [
         FeedListing(
@@ -162,20 +199,21 @@
 
 
 def _encode_record(
-    log: RecordLog, record: Record, bases: frozenset[int]
+    log: RecordLog, record: Record, bases: frozenset[Revision]
 ) -> FeedRecord:
     body = record.body or b''
     encoded: FeedRecord = {
         'key': record.key,
         'text': '',
-        'revision': record.revision,
+        'revision': record.revision.number,
         'is_deleted': record.body is None,
     }
     base = _choose_base(log, record, bases)
     if base is None or base.body is None:
         encoded['text'] = body.decode('latin-1')
     else:
-        encoded['base_revision'] = base.revision
+        encoded['base_revision'] = base.revision.number
+        encoded['base_era'] = base.revision.era
         encoded['edits'] = [
             FeedEdit(
                 start=edit.start,
@@ -188,7 +226,7 @@
 
 
 def _choose_base(
-    log: RecordLog, record: Record, bases: frozenset[int]
+    log: RecordLog, record: Record, bases: frozenset[Revision]
 ) -> Record | None:
     """Return the version that has most in common with a record.
 
@@ -209,12 +247,14 @@
 ) -> Result[bytes | None, Fault]:
     if encoded['is_deleted']:
         return Ok(None)
-    base_revision = encoded.get('base_revision')
-    if base_revision is None:
+    base_number = encoded.get('base_revision')
+    if base_number is None:
         return Ok(encoded['text'].encode('latin-1'))
+    base_era = encoded.get('base_era', NO_REVISION.era)
+    base_revision = Revision(base_era, base_number)
     base = find_version(log, encoded['key'], {base_revision})
     if base is None or base.body is None:
-        return Error(Fault(encoded['key'], f'no base {base_revision}'))
+        return Error(Fault(encoded['key'], f'no base {base_number}'))
     edits = [
         Edit(edit['start'], edit['stop'], edit['text'].encode('latin-1'))
         for edit in encoded.get('edits', [])
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -26,7 +26,10 @@
     make_site,
 )
 from marjoramlead.listeners import Listener, close_listeners, close_port
-from marjoramlead.mesh_state import expire_held_targets
+from marjoramlead.mesh_updates import (
+    expire_held_targets,
+    settle_deferred_changes,
+)
 from marjoramlead.metrics import register_gauge
 from marjoramlead.peer_requests import handle_peer_request
 from marjoramlead.problems import BufferedResponse
@@ -174,7 +177,8 @@
         'data_centre': sidecar.config.data_centre,
         'service': sidecar.config.service,
         'version': mesh_state.table.version if mesh_state.table else 0,
-        'revision': mesh_state.revision,
+        'revision': mesh_state.revision.number,
+        'era': mesh_state.revision.era,
         'news_age_s': min(now - mesh_state.confirmed_at, MAX_REPORTED_AGE_S),
         'store_failures': sidecar.store_watcher.failures,
         'stopping': sidecar.frontend.shutdown is not None,
@@ -218,7 +222,12 @@
     register(
         'revision',
         'Store revision that this node has reached.',
-        lambda: mesh_state.revision,
+        lambda: mesh_state.revision.number,
+    )
+    register(
+        'store_era',
+        'Number of restorations of the store, as this node knows it.',
+        lambda: mesh_state.revision.era,
     )
     register(
         'version',
@@ -240,8 +249,12 @@
 
 def _work_periodically(sidecar: Sidecar, now: float) -> None:
     expired_keys = expire_held_targets(sidecar.mesh_state, now)
+    settled_keys = settle_deferred_changes(sidecar.mesh_state, now)
     if expired_keys:
         emit('lapsed', keys=expired_keys)
+    if settled_keys:
+        emit('settled', keys=settled_keys)
+    if expired_keys or settled_keys:
         apply_mesh_changes(sidecar)
     if now >= sidecar.next_probe_at:
         sidecar.next_probe_at = now + PROBE_INTERVAL_S
--- a/marjoramlead/platform/decoding.py
+++ b/marjoramlead/platform/decoding.py
@@ -61,7 +61,8 @@
         emit(
             'record_refused',
             key=record.key,
-            revision=record.revision,
+            revision=record.revision.number,
+            era=record.revision.era,
             reason=f'{type(exc).__name__}: {exc}',
         )
     return None
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -47,6 +47,8 @@
 # Idle connections to the target are not reused after this time, because the
 # target may have closed them.
 TARGET_IDLE_TIMEOUT_S: Final = 4.0
+# Heartbeats of a target that are missed until the store removes its entry.
+LEASE_HEARTBEATS: Final = 3
 
 
 class PlatformAdapter(NamedTuple):
@@ -123,6 +125,7 @@
     metrics = Metrics()
     connect = adapter.connect
     mesh_state = MeshState(adapter.decode_record)
+    mesh_state.restoration.lease_s = LEASE_HEARTBEATS * config.heartbeat_s
     gate = TargetGate(
         config.target,
         mesh_state,
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -15,7 +15,7 @@
 from random import Random
 from typing import Final, NamedTuple, Protocol
 
-from expression import Result
+from expression import Error, Result
 from twisted.internet.defer import Deferred
 
 from marjoramlead.address import Address
@@ -25,13 +25,15 @@
 from marjoramlead.feed_client import FeedClient, apply_feed, read_feed
 from marjoramlead.feeds import make_feed_query
 from marjoramlead.generated.hop_types import FeedDocument
-from marjoramlead.mesh_state import (
-    MeshState,
+from marjoramlead.mesh_state import MeshState
+from marjoramlead.mesh_updates import (
     apply_records,
     confirm_revision,
     remove_unlisted,
 )
 from marjoramlead.record_log import Record
+from marjoramlead.revisions import NO_REVISION, Revision, may_follow
+from marjoramlead.update_log import log_changes, log_restoration
 
 __all__ = (
     'FeedAddresses',
@@ -92,7 +94,7 @@
     """
 
     records: list[Record]
-    revision: int
+    revision: Revision
     listed_prefix: str | None = None
     held_s: float = 0
 
@@ -105,16 +107,17 @@
 
     async def watch(
         self,
-        after: int,
+        after: Revision,
         wait_s: float,
     ) -> Result[StoreUpdate, Fault]:
         """Wait for changes after a revision.
 
         A fault whose path is ``history`` means that the store no longer knows
-        the changes after this revision, and all records must be read again.
+        the changes after this revision, or was restored since, and all records
+        must be read again.
         """
 
-    async def read_latest(self, after: int) -> Result[StoreUpdate, Fault]:
+    async def read_latest(self, after: Revision) -> Result[StoreUpdate, Fault]:
         """Read the changes after a revision without intermediate versions."""
 
 
@@ -150,8 +153,8 @@
     on_confirm
         Called after each read of the store or of a parent.
     after
-        Revision up to which all changes have been read; 0 if all records must
-        be listed.
+        Revision up to which all changes have been read; ``NO_REVISION`` if all
+        records must be listed.
     failures
         Number of consecutive failed calls to the store.
     is_querying_peer
@@ -174,7 +177,7 @@
     on_confirm: Callable[[], None]
     reactor: Clock
     rng: Random
-    after: int = 0
+    after: Revision = NO_REVISION
     failures: int = 0
     is_querying_peer: bool = False
     is_routing_changing: bool = False
@@ -189,7 +192,7 @@
     )
 
 
-def note_reported_revision(watcher: StoreWatcher, revision: int) -> None:
+def note_reported_revision(watcher: StoreWatcher, revision: Revision) -> None:
     """Note a revision that another node has reported.
 
     If the watch does not deliver it in time, a peer is queried.
@@ -206,9 +209,16 @@
     )
 
 
-def _check_reported_revision(watcher: StoreWatcher, revision: int) -> None:
+def _check_reported_revision(watcher: StoreWatcher, revision: Revision) -> None:
     if watcher.mesh_state.revision < revision:
-        emit('behind', known=watcher.mesh_state.revision, heard=revision)
+        known = watcher.mesh_state.revision
+        emit(
+            'behind',
+            known=known.number,
+            era=known.era,
+            heard=revision.number,
+            heard_era=revision.era,
+        )
         _start_peer_query(watcher)
 
 
@@ -224,7 +234,7 @@
 def _choose_parent(watcher: StoreWatcher) -> Address | None:
     """Return the node to read next, or None to read the store."""
     parent, alternates = watcher.feed_sources()
-    if parent is None or not watcher.after:
+    if parent is None or watcher.after == NO_REVISION:
         return None
     return _first_usable(watcher, [parent, *alternates])
 
@@ -270,6 +280,8 @@
     """Read the store once, and wait until it may be read again."""
     sent_at = watcher.reactor.seconds()
     result = await _fetch_changes(watcher, wait_s)
+    if result.is_ok() and not _is_applicable(watcher, result.ok):
+        result = Error(Fault('era', 'the answer is of an earlier era'))
     if result.is_error():
         await _on_fault(watcher, result.error)
         return
@@ -287,7 +299,7 @@
     watcher: StoreWatcher, wait_s: float
 ) -> Result[StoreUpdate, Fault]:
     """Read the changes; skip intermediate versions if changes are rapid."""
-    if not watcher.after:
+    if watcher.after == NO_REVISION:
         return await watcher.store.list_all()
     changed_ago = (
         watcher.reactor.seconds() - watcher.mesh_state.table_received_at
@@ -298,6 +310,16 @@
     return await watcher.store.watch(watcher.after, wait_s)
 
 
+def _is_applicable(watcher: StoreWatcher, update: StoreUpdate) -> bool:
+    """Return whether an update is of the era that this node knows, or later.
+
+    Another node may have told of a later era during the call.
+    """
+    known = watcher.mesh_state.revision
+    is_complete = update.listed_prefix == ''  # noqa: WPS502  # may be None
+    return may_follow(known, update.revision, is_complete=is_complete)
+
+
 def _apply_update(
     watcher: StoreWatcher, update: StoreUpdate, sent_at: float
 ) -> None:
@@ -306,6 +328,7 @@
         emit('store_regained', failures=watcher.failures)
     watcher.failures = 0
     made_at = min(sent_at + update.held_s, now)
+    known = watcher.mesh_state.revision
     confirm_revision(watcher.mesh_state, update.revision, made_at, now)
     changed = apply_records(watcher.mesh_state, update.records, now)
     if update.listed_prefix is not None:
@@ -318,29 +341,38 @@
             update.listed_prefix,
         )
     watcher.after = max(watcher.after, update.revision)
+    log_restoration(watcher.mesh_state, known, 'store')
     _log_and_notify(watcher, changed, 'store')
 
 
 def _note_origin(watcher: StoreWatcher, origin: str) -> None:
     if watcher.origin != origin:
         watcher.origin = origin
-        emit('source', origin=origin, revision=watcher.mesh_state.revision)
+        known = watcher.mesh_state.revision
+        emit('source', origin=origin, revision=known.number, era=known.era)
 
 
 async def _on_fault(watcher: StoreWatcher, fault: Fault) -> None:
     if fault.path == 'history':
-        emit('store_history_lost', after=watcher.after)
-        watcher.after = 0
+        emit(
+            'store_history_lost',
+            reason=fault.reason,
+            after=watcher.after.number,
+            era=watcher.after.era,
+        )
+        watcher.after = NO_REVISION
         return
     if not watcher.failures:
         emit(
             'store_lost',
             reason=fault.reason,
-            revision=watcher.mesh_state.revision,
+            revision=watcher.mesh_state.revision.number,
+            era=watcher.mesh_state.revision.era,
         )
     watcher.failures += 1
     alternate = _first_usable(watcher, watcher.feed_sources().alternates)
-    if watcher.after and alternate and await _follow(watcher, alternate):
+    is_current = watcher.after != NO_REVISION
+    if is_current and alternate and await _follow(watcher, alternate):
         return
     _start_peer_query(watcher)
     max_delay = min(BACKOFF_MAX_S, BACKOFF_FIRST_S * 2**watcher.failures)
@@ -380,9 +412,11 @@
     watcher: StoreWatcher, document: FeedDocument, origin: str, sent_at: float
 ) -> None:
     now = watcher.reactor.seconds()
+    known = watcher.mesh_state.revision
     changed = apply_feed(watcher.mesh_state, document, sent_at, now)
-    if watcher.after:
+    if watcher.after != NO_REVISION:
         watcher.after = max(watcher.after, watcher.mesh_state.revision)
+    log_restoration(watcher.mesh_state, known, origin)
     _log_and_notify(watcher, changed, origin)
 
 
@@ -392,26 +426,11 @@
     origin: str,
 ) -> None:
     if changed:
-        _log_changes(watcher, changed, origin)
+        log_changes(watcher.mesh_state, changed, origin)
         watcher.on_change()
     watcher.on_confirm()
 
 
-def _log_changes(
-    watcher: StoreWatcher, changed: list[Record], origin: str
-) -> None:
-    table = watcher.mesh_state.table
-    emit(
-        'news',
-        origin=origin,
-        revision=watcher.mesh_state.revision,
-        keys=[record.key for record in changed[:10]],
-        count=len(changed),
-        bytes=sum(len(record.body or b'') for record in changed),
-        version=table.version if table else 0,
-    )
-
-
 def _age_ms(watcher: StoreWatcher, now: float) -> int:
     age = min(now - watcher.mesh_state.confirmed_at, MAX_LOGGED_AGE_S)
     return round(age * MS_PER_SECOND)
