Do not read a port that was closed before

The inbound port is closed at 2.3 s and was closed again with the others. The second close read it three times to accept connections, and Twisted wrote three tracebacks to standard error in each normal stop.

tests/test_review_lost.py: the closed port is not read.

--- a/marjoramlead/clock.py
+++ b/marjoramlead/clock.py
@@ -50,7 +50,7 @@
 
         Returns
         -------
-        Fires when the port is closed.
+        Fires when the port is closed; None if it was closed before.
         """
 
 
--- a/marjoramlead/listeners.py
+++ b/marjoramlead/listeners.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Final, NamedTuple
 
-from twisted.internet.defer import Deferred, DeferredList, maybeDeferred
+from twisted.internet.defer import Deferred, DeferredList, succeed
 
 from marjoramlead.clock import Clock, ListeningPort
 from marjoramlead.http_server import StreamSite
@@ -34,7 +34,7 @@
     site: StreamSite
 
 
-def close_port(port: ListeningPort, reactor: Clock) -> Deferred[Any]:
+def close_port(port: ListeningPort, reactor: Clock) -> Deferred[None]:
     """Accept the connections that wait at a port, and close it.
 
     Returns
@@ -47,8 +47,12 @@
             port.doRead()
 
     # Twisted closes the port right after this, in the next iteration.
-    reactor.callLater(0, accept_waiting)
-    return maybeDeferred(port.stopListening)
+    accepting = reactor.callLater(0, accept_waiting)
+    closing = port.stopListening()
+    if closing is None:  # it was closed before
+        accepting.cancel()
+        return succeed(None)
+    return closing
 
 
 def close_listeners(
--- a/tests/test_review_lost.py
+++ b/tests/test_review_lost.py
@@ -2,8 +2,10 @@
 
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
 
 from marjoramlead.lifecycle import drain_sidecar
+from marjoramlead.listeners import close_port
 from tests.memory_net import STEP_S
 from tests.platform_mesh import INBOUND, OUTBOUND, ready_mesh, route
 
@@ -163,3 +165,20 @@
     assert kept.status == 504
     assert sent.status == 503
     assert not mesh.runs(sent.request_id)
+
+
+class ClosedPort:
+    """A port that has been closed before; Twisted cannot read it any more."""
+
+    def doRead(self):
+        """Fail."""
+        raise AssertionError
+
+    def stopListening(self):
+        """Do nothing."""
+
+
+def test_port_that_was_closed_before_is_not_read_again():
+    clock = Clock()
+    assert close_port(ClosedPort(), clock).called
+    clock.advance(1)
