Restored store: the log line of news stays in store_watcher

Only the new log_restoration has a module of its own, restoration_log; the change to test_config_storm is taken back.

--- a/marjoramlead/update_log.py
+++ b/marjoramlead/restoration_log.py
@@ -1,34 +1,16 @@
-"""Log lines about what a node has learnt from the store or another node."""
+"""Log lines about restorations of the store."""
 
 from typing import Final
 
 from marjoramlead.events import emit
 from marjoramlead.mesh_state import MeshState
-from marjoramlead.record_log import Record
 from marjoramlead.revisions import NO_REVISION, Revision
 
-__all__ = ('log_changes', 'log_restoration')
+__all__ = ('log_restoration',)
 
 MAX_LOGGED_KEYS: Final = 10
 
 
-def log_changes(
-    mesh_state: MeshState, changed: list[Record], origin: str
-) -> None:
-    """Log the records that have changed, and what is known since."""
-    table = mesh_state.table
-    emit(
-        'news',
-        origin=origin,
-        revision=mesh_state.revision.number,
-        era=mesh_state.revision.era,
-        keys=[record.key for record in changed[:MAX_LOGGED_KEYS]],
-        count=len(changed),
-        bytes=sum(len(record.body or b'') for record in changed),
-        version=table.version if table else 0,
-    )
-
-
 def log_restoration(
     mesh_state: MeshState, known: Revision, origin: str
 ) -> None:
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -32,8 +32,8 @@
     remove_unlisted,
 )
 from marjoramlead.record_log import Record
+from marjoramlead.restoration_log import log_restoration
 from marjoramlead.revisions import NO_REVISION, Revision, may_follow
-from marjoramlead.update_log import log_changes, log_restoration
 
 __all__ = (
     'FeedAddresses',
@@ -73,6 +73,7 @@
 MS_PER_SECOND: Final = 1000
 # Logged instead of the infinite age of data that was never confirmed.
 MAX_LOGGED_AGE_S: Final = 1000.0
+MAX_LOGGED_KEYS: Final = 10
 # Time allowed for a revision that another node reported to arrive by itself:
 # the node may be waiting between two reads of the store.
 REVISION_GRACE_S: Final = ROUTING_DEBOUNCE_S + 0.4
@@ -426,11 +427,27 @@
     origin: str,
 ) -> None:
     if changed:
-        log_changes(watcher.mesh_state, changed, origin)
+        _log_changes(watcher, changed, origin)
         watcher.on_change()
     watcher.on_confirm()
 
 
+def _log_changes(
+    watcher: StoreWatcher, changed: list[Record], origin: str
+) -> None:
+    mesh_state = watcher.mesh_state
+    emit(
+        'news',
+        origin=origin,
+        revision=mesh_state.revision.number,
+        era=mesh_state.revision.era,
+        keys=[record.key for record in changed[:MAX_LOGGED_KEYS]],
+        count=len(changed),
+        bytes=sum(len(record.body or b'') for record in changed),
+        version=mesh_state.table.version if mesh_state.table else 0,
+    )
+
+
 def _age_ms(watcher: StoreWatcher, now: float) -> int:
     age = min(now - watcher.mesh_state.confirmed_at, MAX_LOGGED_AGE_S)
     return round(age * MS_PER_SECOND)
--- a/tests/test_config_storm.py
+++ b/tests/test_config_storm.py
@@ -70,12 +70,10 @@
 
 def test_node_between_two_reads_is_not_taken_for_behind(monkeypatch):
     logged = []
-
-    def log(kind, **_fields):
-        logged.append(kind)
-
-    for module in ('store_watcher', 'update_log'):
-        monkeypatch.setattr(f'marjoramlead.{module}.emit', log)
+    monkeypatch.setattr(
+        'marjoramlead.store_watcher.emit',
+        lambda kind, **_fields: logged.append(kind),
+    )
     mesh = settled_mesh()
     mesh.configure(2, routes=ROUTES)
     mesh.advance(0.05)
--- a/tests/test_update_log.py
+++ b/tests/test_restoration_log.py
@@ -2,8 +2,8 @@
 
 from collections import Counter
 
+from marjoramlead.restoration_log import log_restoration
 from marjoramlead.revisions import NO_REVISION
-from marjoramlead.update_log import log_restoration
 from standins.platform_store import delete, put, restore, snapshot
 from tests.platform_mesh import ready_mesh
 from tests.samples import rev
@@ -17,7 +17,7 @@
     def log(kind, **fields):
         lines.append((kind, fields))
 
-    for module in ('store_watcher', 'update_log', 'lifecycle'):
+    for module in ('store_watcher', 'restoration_log', 'lifecycle'):
         monkeypatch.setattr(f'marjoramlead.{module}.emit', log)
     return lines
 
