Restored store: held targets get the whole time again after a second restoration

Cause: a target that the copy lacks is held for two seconds from the first read of the era. If the store is restored again before the target has registered, its deletion is known already, so that the time was not begun anew.

Evidence: two restorations 1.5 s apart; 503 at all nodes 1.7 s after the second one, before the target had registered. All targets that are held now get the time anew.

--- a/marjoramlead/mesh_updates.py
+++ b/marjoramlead/mesh_updates.py
@@ -196,13 +196,16 @@
     """Prepare for the records of a restored store.
 
     Entries that it lacks are written again within the time allowed after an
-    outage. A node that knows no records takes the copy as it is.
+    outage, also those that were missing before. A node that knows no records
+    takes the copy as it is.
     """
     if mesh_state.revision == NO_REVISION:
         return
     drop_older_tombstones(mesh_state.records, revision.era)
     enter_era(mesh_state.restoration, revision, now)
     mesh_state.reconnected_at = now
+    held_until = now + REREGISTRATION_GRACE_S
+    mesh_state.held_until = dict.fromkeys(mesh_state.held_until, held_until)
 
 
 def _apply_record(mesh_state: MeshState, record: Record, now: float) -> None:
--- a/tests/test_review_restored.py
+++ b/tests/test_review_restored.py
@@ -7,6 +7,7 @@
     CONTACT_S,
     fleet,
     lose_store,
+    mesh_with_new_target,
     return_store,
     send_from_all,
     statuses,
@@ -27,3 +28,17 @@
     sent = send_from_all(mesh, '/added/x')
     mesh.advance(0.5)
     assert statuses(sent) == {503}
+
+
+def test_second_restoration_gives_held_targets_the_whole_time_again():
+    mesh, new, copy = mesh_with_new_target()
+    restore(mesh.store, copy)
+    mesh.advance(1.5)
+    restore(mesh.store, copy)
+    sent = []
+    for _step in range(9):
+        sent.extend(send_from_all(mesh))
+        mesh.advance(0.2)
+    mesh.publish(new)
+    mesh.advance(1)
+    assert statuses(sent) == {200}
