Restored store: a store that stops sending the era is still read

Cause: an answer without the header counted as one of era 0, so that all later answers were refused as those of an earlier era: no change was put in force any more, by any node, until all were started anew.

Evidence: the new test; versions stayed where they were at all six nodes. An answer that names no era, or one that cannot be read, is now taken for the last era that the node knows. A store that never sends it is read as before.

--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -76,6 +76,7 @@
         )
         self._host = f'{address[0]}:{address[1]}'.encode()
         self._metrics = metrics
+        self._era = NO_REVISION.era
 
     async def list_all(self) -> Result[StoreUpdate, Fault]:
         """List all records."""
@@ -97,6 +98,7 @@
         full. The operator's records are listed instead, and only the changes
         of targets are watched.
         """
+        self._era = max(self._era, after.era)
         listing = (await self._list(OPERATOR_PREFIX)).bind(
             lambda update: _check_era(update, after)
         )
@@ -141,6 +143,7 @@
     ) -> Result[StoreUpdate, Fault]:
         """Wait for changes; without any, the store has held the whole wait."""
         wait_s = wait_ms / MS_PER_SECOND
+        self._era = max(self._era, after.era)
         query = {
             'PathPrefix': prefix,
             'after': str(after.number),
@@ -173,7 +176,10 @@
         send_result = await receive(
             self._reactor, self._pool, outgoing, deadline, MAX_TRANSFER_S
         )
-        response = _decode_response(send_result)
+        response = _decode_response(send_result, self._era)
+        self._era = response.map(
+            lambda answer: max(self._era, answer.era)
+        ).default_value(self._era)
         outcome = response.error.path if response.is_error() else 'answered'
         self._metrics.store_calls.labels(outcome).inc()
         if response.is_error():
@@ -182,7 +188,7 @@
 
 
 def _decode_response(
-    send_result: SendResult | None,
+    send_result: SendResult | None, known_era: int
 ) -> Result[_Answer, Fault]:
     if send_result is None:
         return Error(Fault('silent', 'no response in time'))
@@ -198,17 +204,20 @@
         return Error(Fault('unreadable', str(exc)))
     if not isinstance(decoded, dict) or 'CurrentRev' not in decoded:
         return Error(Fault('unreadable', 'no revision in the response'))
-    return Ok(_Answer(decoded, _decode_era(send_result.ok.headers)))
+    return Ok(_Answer(decoded, _decode_era(send_result.ok.headers, known_era)))
 
 
-def _decode_era(headers: HeaderList) -> int:
-    """Return the era of an answer; 0 if it has none that can be read."""
+def _decode_era(headers: HeaderList, known_era: int) -> int:
+    """Return the era of an answer; the known one if it names none.
+
+    A store that stops sending the era must still be read.
+    """
     raw = header_value(headers, ERA_HEADER)
     if raw.isascii() and raw.isdigit():
         return int(raw)
     if raw:
         emit('era_unreadable', era=raw)
-    return NO_REVISION.era
+    return known_era
 
 
 def _check_era(
--- a/tests/test_review_restored.py
+++ b/tests/test_review_restored.py
@@ -5,9 +5,11 @@
 from tests.test_restored_store import (
     ADDED,
     CONTACT_S,
+    IN_FORCE_S,
     fleet,
     lose_store,
     mesh_with_new_target,
+    restore_after,
     return_store,
     send_from_all,
     statuses,
@@ -42,3 +44,21 @@
     mesh.publish(new)
     mesh.advance(1)
     assert statuses(sent) == {200}
+
+
+def test_store_that_stops_sending_the_era_is_still_read():
+    mesh = fleet()
+    copy = snapshot(mesh.store)
+    mesh.configure(2)
+    mesh.advance(IN_FORCE_S)
+    restore_after(mesh, copy, 0.5)
+    mesh.advance(CONTACT_S)
+    mesh.store.sends_era = False
+    mesh.configure(3)
+    mesh.advance(IN_FORCE_S)
+    assert versions(mesh) == {3}
+    mesh.add_host('web')
+    mesh.advance(CONTACT_S)
+    mesh.configure(4)
+    mesh.advance(IN_FORCE_S)
+    assert versions(mesh) == {4}
