--- a/marjoramlead/mesh_updates.py
+++ b/marjoramlead/mesh_updates.py
@@ -196,13 +196,16 @@
     """Prepare for the records of a restored store.
 
     Entries that it lacks are written again within the time allowed after an
-    outage. A node that knows no records takes the copy as it is.
+    outage, also those that were missing before. A node that knows no records
+    takes the copy as it is.
     """
     if mesh_state.revision == NO_REVISION:
         return
     drop_older_tombstones(mesh_state.records, revision.era)
     enter_era(mesh_state.restoration, revision, now)
     mesh_state.reconnected_at = now
+    held_until = now + REREGISTRATION_GRACE_S
+    mesh_state.held_until = dict.fromkeys(mesh_state.held_until, held_until)
 
 
 def _apply_record(mesh_state: MeshState, record: Record, now: float) -> None:
@@ -215,8 +218,8 @@
         forget_copy(mesh_state.restoration, key)
     decoded = mesh_state.decode(record, now)
     if isinstance(decoded, RoutingTable):
-        is_newer = _replace_table(mesh_state, decoded, now)
-        if is_newer or not is_copied:
+        _replace_table(mesh_state, decoded, now)
+        if not is_copied:
             note_new_routes(mesh_state.restoration)
     elif decoded is None:
         mesh_state.targets.pop(key, None)
@@ -244,10 +247,9 @@
 
 def _replace_table(
     mesh_state: MeshState, table: RoutingTable, now: float
-) -> bool:
-    """Put a newer routing table in force; return whether it is newer."""
+) -> None:
     if mesh_state.table and table.version <= mesh_state.table.version:
-        return False
+        return
     older_valid_until = now + OLD_TABLE_GRACE_S
     if isfinite(mesh_state.unchanged_until):
         older_valid_until = min(
@@ -258,7 +260,6 @@
     mesh_state.received_versions.append(
         VersionReceipt(table.version, older_valid_until)
     )
-    return True
 
 
 def _delete_record(mesh_state: MeshState, record: Record, now: float) -> None:
--- /dev/null
+++ b/tests/test_review_restored.py
@@ -0,0 +1,64 @@
+"""Findings of a review of the restored store: where else old records count."""
+
+from standins.platform_store import restore, snapshot
+from tests.test_feed import versions
+from tests.test_restored_store import (
+    ADDED,
+    CONTACT_S,
+    IN_FORCE_S,
+    fleet,
+    lose_store,
+    mesh_with_new_target,
+    restore_after,
+    return_store,
+    send_from_all,
+    statuses,
+)
+
+
+def test_newer_version_of_the_copy_does_not_prove_that_no_route_is_lost():
+    mesh = fleet()
+    lose_store(mesh)
+    mesh.advance(0.3)
+    mesh.configure(2)
+    copy = snapshot(mesh.store)
+    mesh.configure(3, routes=ADDED)
+    restore(mesh.store, copy)
+    return_store(mesh)
+    mesh.advance(CONTACT_S)
+    assert versions(mesh) == {2}
+    sent = send_from_all(mesh, '/added/x')
+    mesh.advance(0.5)
+    assert statuses(sent) == {503}
+
+
+def test_second_restoration_gives_held_targets_the_whole_time_again():
+    mesh, new, copy = mesh_with_new_target()
+    restore(mesh.store, copy)
+    mesh.advance(1.5)
+    restore(mesh.store, copy)
+    sent = []
+    for _step in range(9):
+        sent.extend(send_from_all(mesh))
+        mesh.advance(0.2)
+    mesh.publish(new)
+    mesh.advance(1)
+    assert statuses(sent) == {200}
+
+
+def test_store_that_stops_sending_the_era_is_still_read():
+    mesh = fleet()
+    copy = snapshot(mesh.store)
+    mesh.configure(2)
+    mesh.advance(IN_FORCE_S)
+    restore_after(mesh, copy, 0.5)
+    mesh.advance(CONTACT_S)
+    mesh.store.sends_era = False
+    mesh.configure(3)
+    mesh.advance(IN_FORCE_S)
+    assert versions(mesh) == {3}
+    mesh.add_host('web')
+    mesh.advance(CONTACT_S)
+    mesh.configure(4)
+    mesh.advance(IN_FORCE_S)
+    assert versions(mesh) == {4}
