Restored store: a follower that may not list the store follows another node

Cause: a follower that read the store in the new era forgot its place and read nothing but the store until a listing succeeded, although its parent had all records. While the store refuses its host, or all calls, only queries of random nodes brought changes.

Evidence: followers whose listings are refused from the restoration on. After an outage of 0 or 0.2 s some of six nodes were not at the newest version 3 s later; after 0.5 s and more, four followers called the store about 1.3 times a second each for as long as the test ran. Such a node now follows the reader of another data centre, and its parent again once another node has brought it further.

--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -371,8 +371,8 @@
         )
     watcher.failures += 1
     alternate = _first_usable(watcher, watcher.feed_sources().alternates)
-    is_current = watcher.after != NO_REVISION
-    if is_current and alternate and await _follow(watcher, alternate):
+    has_records = watcher.mesh_state.revision != NO_REVISION
+    if has_records and alternate and await _follow(watcher, alternate):
         return
     _start_peer_query(watcher)
     max_delay = min(BACKOFF_MAX_S, BACKOFF_FIRST_S * 2**watcher.failures)
@@ -414,8 +414,11 @@
     now = watcher.reactor.seconds()
     known = watcher.mesh_state.revision
     changed = apply_feed(watcher.mesh_state, document, sent_at, now)
-    if watcher.after != NO_REVISION:
-        watcher.after = max(watcher.after, watcher.mesh_state.revision)
+    revision = watcher.mesh_state.revision
+    # The other node had all changes since, so no listing is needed for them.
+    is_caught_up = known != NO_REVISION and revision > known
+    if is_caught_up or watcher.after != NO_REVISION:
+        watcher.after = max(watcher.after, revision)
     log_restoration(watcher.mesh_state, known, origin)
     _log_and_notify(watcher, changed, origin)
 
--- a/tests/test_review_restored.py
+++ b/tests/test_review_restored.py
@@ -1,7 +1,11 @@
 """Findings of a review of the restored store: where else old records count."""
 
+import pytest
+from expression import Error
+
+from marjoramlead.errors import Fault
 from standins.platform_store import restore, snapshot
-from tests.test_feed import versions
+from tests.test_feed import parent, versions
 from tests.test_restored_store import (
     ADDED,
     CONTACT_S,
@@ -62,3 +66,39 @@
     mesh.configure(4)
     mesh.advance(IN_FORCE_S)
     assert versions(mesh) == {4}
+
+
+@pytest.mark.parametrize('away_s', [0, 0.5, IN_FORCE_S])
+def test_follower_that_may_not_list_the_restored_store_follows_its_parent(
+    away_s,
+):
+    """Its parent has all records of the new era."""
+    mesh = fleet()
+    copy = snapshot(mesh.store)
+    mesh.configure(2)
+    mesh.advance(IN_FORCE_S)
+    listings = [
+        refuse_listings(host, mesh.reactor)
+        for host in mesh.hosts
+        if parent(host)
+    ]
+    restore_after(mesh, copy, away_s)
+    mesh.configure(3)
+    mesh.advance(CONTACT_S)
+    assert any(listings)
+    assert versions(mesh) == {3}
+    before = sum(map(len, listings))
+    mesh.advance(CONTACT_S)
+    assert sum(map(len, listings)) == before
+
+
+def refuse_listings(host, clock):
+    """Refuse the listings of a node; return the times of its calls."""
+    called_at = []
+
+    async def refuse():
+        called_at.append(clock.seconds())
+        return Error(Fault('refused', 'status 429'))
+
+    host.sidecar.store_watcher.store.list_all = refuse
+    return called_at
