Restored store: a target that the copy lacks keeps its address

Cause: of two targets with one address, the one published later counts. A held target came before all others, since the revision of its deletion does not tell when its entry was published. After a restoration the copy may have only the target that had the address before, which then counted as the later one: the live target got no requests, and the former one, which refuses them with 421, got them all, until the live one registered again.

Evidence: the new test; the live target was superseded at all nodes that knew of the restoration. A target that only the copy lacks was published after all records of the copy, and is ordered so.

--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -11,7 +11,7 @@
 
 from marjoramlead.mesh_entries import ExcludedDataCentre, TargetEntry
 from marjoramlead.record_log import Record, RecordLog
-from marjoramlead.restoration import Restoration
+from marjoramlead.restoration import Restoration, is_from_copy
 from marjoramlead.revisions import NO_REVISION, Revision
 from marjoramlead.routes import RoutingTable
 
@@ -203,17 +203,22 @@
 
 def _publication_order(
     mesh_state: MeshState, key: str
-) -> tuple[bool, Revision]:
+) -> tuple[Revision, bool]:
     """Return a sort key that orders entries by the time of publication.
 
     The order follows the store's revisions, not the targets' start times,
     because hosts' clocks may be adjusted between starts. The latest record of
     a held target is its deletion, whose revision doesn't tell when its entry
-    was published; held targets therefore come before all others.
+    was published; held targets therefore come before all others. One that the
+    copy of a restored store lacks was published after all records of the copy.
     """
-    if key in mesh_state.held_until:
-        return False, NO_REVISION
-    return True, mesh_state.records.by_key[key].revision
+    record = mesh_state.records.by_key.get(key)
+    restoration = mesh_state.restoration
+    if key not in mesh_state.held_until and record is not None:
+        return record.revision, False
+    if record is None or is_from_copy(restoration, record.revision):
+        return restoration.first_revision, True
+    return NO_REVISION, False
 
 
 def find_superseded(mesh_state: MeshState) -> set[str]:
--- a/tests/test_review_restored.py
+++ b/tests/test_review_restored.py
@@ -4,7 +4,9 @@
 from expression import Error
 
 from marjoramlead.errors import Fault
+from marjoramlead.mesh_state import find_target_by_address
 from standins.platform_store import restore, snapshot
+from tests.platform_mesh import TARGET, ready_mesh
 from tests.test_feed import parent, versions
 from tests.test_restored_store import (
     ADDED,
@@ -102,3 +104,23 @@
 
     host.sidecar.store_watcher.store.list_all = refuse
     return called_at
+
+
+def test_target_that_the_copy_lacks_is_not_replaced_by_the_one_before_it():
+    """Both have the same address; the copy has the earlier one only."""
+    mesh = ready_mesh('api', 'api', 'web', 'web')
+    mesh.advance(CONTACT_S)
+    host = mesh.hosts[2]
+    copy = snapshot(mesh.store)
+    former = host.target.target_id
+    host.target.target_id = 'i-new'
+    mesh.publish(host)
+    mesh.advance(IN_FORCE_S)
+    restore_after(mesh, copy, 0.5)
+    for _step in range(9):
+        for each in mesh.hosts:
+            mesh_state = each.sidecar.mesh_state
+            assert mesh_state.superseded == {former}
+            found = find_target_by_address(mesh_state, (host.address, TARGET))
+            assert found.target_id == 'i-new'
+        mesh.advance(0.2)
