Restored store: an entry that became unreadable is not taken back from the copy

Cause: a target whose entry could no longer be read was removed without the note that it had left, so that the readable entry of the copy was used at once.

Evidence: the new test; the target got requests after the restoration. It is now remembered as one that left, and used once its entry is written again.

--- a/marjoramlead/mesh_updates.py
+++ b/marjoramlead/mesh_updates.py
@@ -222,7 +222,7 @@
         if not is_copied:
             note_new_routes(mesh_state.restoration)
     elif decoded is None:
-        mesh_state.targets.pop(key, None)
+        _remove_target(mesh_state, key, now)
         mesh_state.refused_records += 1
     elif is_copied:
         known = find_entry(mesh_state, key)
--- a/tests/test_review_restored.py
+++ b/tests/test_review_restored.py
@@ -5,7 +5,7 @@
 
 from marjoramlead.errors import Fault
 from marjoramlead.mesh_state import find_target_by_address
-from standins.platform_store import restore, snapshot
+from standins.platform_store import put, restore, snapshot
 from tests.platform_mesh import TARGET, ready_mesh
 from tests.test_feed import parent, versions
 from tests.test_restored_store import (
@@ -15,10 +15,12 @@
     fleet,
     lose_store,
     mesh_with_new_target,
+    requests_within,
     restore_after,
     return_store,
     send_from_all,
     statuses,
+    target_key,
 )
 
 
@@ -124,3 +126,16 @@
             found = find_target_by_address(mesh_state, (host.address, TARGET))
             assert found.target_id == 'i-new'
         mesh.advance(0.2)
+
+
+def test_target_whose_entry_became_unreadable_does_not_return_with_the_copy():
+    mesh = fleet()
+    host = mesh.hosts[0]
+    copy = snapshot(mesh.store)
+    put(mesh.store, target_key(host), b'{}')
+    mesh.advance(IN_FORCE_S)
+    restore(mesh.store, copy)
+    assert not requests_within(mesh, host, CONTACT_S)
+    mesh.publish(host)
+    mesh.advance(IN_FORCE_S)
+    assert requests_within(mesh, host, 1)
