Restored store: an era that is too large to be sent stops no node

Cause: an era of any size was accepted from the header. One of 20 digits or more could not be encoded for other nodes, which ended the answer with an error; one of 5000 could not be decoded.

Evidence: a node's answer to a follower failed with OverflowError. An era of more than 18 digits now counts as unreadable, and the last known one is used.

--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -45,6 +45,8 @@
 IDLE_TIMEOUT_S: Final = 1.0
 MS_PER_SECOND: Final = 1000
 MAX_PAGES: Final = 100
+# An era with more digits cannot be sent to other nodes.
+MAX_ERA_DIGITS: Final = 18
 # A watch that waits this long returns the changes made so far.
 SHORTEST_WAIT_MS: Final = 1
 
@@ -213,7 +215,8 @@
     A store that stops sending the era must still be read.
     """
     raw = header_value(headers, ERA_HEADER)
-    if raw.isascii() and raw.isdigit():
+    is_number = raw.isascii() and raw.isdigit()
+    if is_number and len(raw) <= MAX_ERA_DIGITS:
         return int(raw)
     if raw:
         emit('era_unreadable', era=raw)
--- a/tests/test_review_restored.py
+++ b/tests/test_review_restored.py
@@ -139,3 +139,15 @@
     mesh.publish(host)
     mesh.advance(IN_FORCE_S)
     assert requests_within(mesh, host, 1)
+
+
+@pytest.mark.parametrize('digits', [19, 25, 5000])
+def test_era_that_is_too_large_to_be_sent_stops_no_node(digits):
+    mesh = fleet()
+    mesh.store.era = '9' * digits
+    for host in mesh.hosts:
+        mesh.cut_store(host)
+    mesh.advance(CONTACT_S)
+    mesh.configure(2)
+    mesh.advance(IN_FORCE_S)
+    assert versions(mesh) == {2}
