Operations of the first interface: a source that is restored from a copy

Cause: its nodes have the same problem as the platform's had, and the source names no era: versions are ordered by its revision alone. Documents that the copy lacks are withdrawn once the source has passed the highest revision known.

A source that names an era stays open.

--- a/tests/test_review_restored.py
+++ b/tests/test_review_restored.py
@@ -6,7 +6,9 @@
 from marjoramlead.errors import Fault
 from marjoramlead.mesh_state import find_target_by_address
 from standins.platform_store import put, restore, snapshot
+from tests.agent_simulation import AgentSimulation
 from tests.platform_mesh import TARGET, ready_mesh
+from tests.test_agent import held_by
 from tests.test_feed import parent, versions
 from tests.test_restored_store import (
     ADDED,
@@ -151,3 +153,20 @@
     mesh.configure(2)
     mesh.advance(IN_FORCE_S)
     assert versions(mesh) == {2}
+
+
+@pytest.mark.parametrize('name', ['contracts/tamworth', 'contracts/ludlow'])
+def test_source_that_goes_on_above_its_last_revision_loses_no_document(name):
+    """The copy lacks both; OPERATIONS.md says how to go on from it."""
+    simulation = AgentSimulation()
+    names = ('contracts/tamworth', 'contracts/ludlow')
+    for each in names:
+        simulation.do_publish(each, is_valid=True)
+    simulation.converge()
+    simulation.source_mode = 'down'
+    simulation.documents.clear()
+    for each in names:
+        simulation.do_publish(each, is_valid=True)
+    simulation.converge()
+    assert held_by(simulation, 0)[name].revision > 2
+    assert held_by(simulation, 0)[name].text
