Tests that fail: what a node that learns of an era late takes for the copy

Cause: all records up to the first revision that a node itself reads in an era count as perhaps from the copy. A node that was cut off takes what was written again meanwhile for the copy, although its parent read an earlier revision of the same era. A live target stays unused there for the lease and 2 s (6.5 s), a data centre whose evacuation was lifted for 10 s.

A fix needs the first revision of the era that the sender has read in the messages between nodes, and a deletion that is inferred from a listing told apart from one that was read.

--- a/tests/test_review_restored.py
+++ b/tests/test_review_restored.py
@@ -5,16 +5,20 @@
 
 from marjoramlead.errors import Fault
 from marjoramlead.mesh_state import find_target_by_address
-from standins.platform_store import put, restore, snapshot
+from standins.platform_store import delete, put, restore, snapshot
 from tests.agent_simulation import AgentSimulation
 from tests.platform_mesh import TARGET, ready_mesh
 from tests.test_agent import held_by
+from tests.test_config_after_change import read_nothing
 from tests.test_feed import parent, versions
 from tests.test_restored_store import (
     ADDED,
+    CALM_S,
     CONTACT_S,
     IN_FORCE_S,
+    NOTICED_S,
     fleet,
+    known_targets,
     lose_store,
     mesh_with_new_target,
     requests_within,
@@ -170,3 +174,50 @@
     simulation.converge()
     assert held_by(simulation, 0)[name].revision > 2
     assert held_by(simulation, 0)[name].text
+
+
+def cut_off_follower(mesh):
+    """Cut a follower off; return it, and a function that connects it again."""
+    follower = next(host for host in mesh.hosts[1:] if parent(host))
+    feed_client = follower.sidecar.store_watcher.feed_client
+    connect = feed_client.connect
+    read_nothing(follower)
+
+    def heal():
+        feed_client.connect = connect
+        for _request in range(8):
+            mesh.send(follower)
+        mesh.advance(NOTICED_S)
+
+    return follower, heal
+
+
+@pytest.mark.parametrize('late_s', [1, 8])
+def test_target_written_again_is_used_by_a_node_that_learns_late(late_s):
+    """It was written again after the first read of its parent."""
+    mesh = fleet()
+    copy = snapshot(mesh.store)
+    mesh.withdraw(mesh.hosts[0])
+    mesh.advance(IN_FORCE_S)
+    follower, heal = cut_off_follower(mesh)
+    restore_after(mesh, copy, 0.5)
+    mesh.advance(NOTICED_S)
+    mesh.publish(mesh.hosts[0])
+    mesh.advance(late_s)
+    heal()
+    mesh.advance(IN_FORCE_S)
+    assert target_key(mesh.hosts[0]) in known_targets(follower)
+
+
+def test_evacuation_lifted_in_the_new_era_ends_at_a_node_that_learns_late():
+    mesh = fleet()
+    put(mesh.store, 'op/evacuate/a', {})
+    mesh.advance(IN_FORCE_S)
+    follower, heal = cut_off_follower(mesh)
+    restore_after(mesh, snapshot(mesh.store), 0.5)
+    mesh.advance(IN_FORCE_S)
+    delete(mesh.store, 'op/evacuate/a')
+    mesh.advance(CALM_S)
+    heal()
+    mesh.advance(IN_FORCE_S)
+    assert not follower.sidecar.mesh_state.excluded
