Log line of an attempt: the era beside the revision

Cause: the gate lines named the revision without its era, the last place that did: after a restoration the number alone says nothing.

Evidence: the new test, which found no era before.

--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -447,4 +447,5 @@
         is_cold=now < gate.queue.cold_until,
         wait_ms=round(min(load.wait_s, MS_PER_SECOND) * MS_PER_SECOND),
         revision=gate.mesh_state.revision.number,
+        era=gate.mesh_state.revision.era,
     )
--- a/tests/test_review_restored.py
+++ b/tests/test_review_restored.py
@@ -3,6 +3,7 @@
 import pytest
 from expression import Error
 
+from marjoramlead import target_runs
 from marjoramlead.errors import Fault
 from marjoramlead.mesh_state import find_target_by_address
 from standins.platform_store import delete, put, restore, snapshot
@@ -221,3 +222,18 @@
     heal()
     mesh.advance(IN_FORCE_S)
     assert not follower.sidecar.mesh_state.excluded
+
+
+def test_log_line_of_an_attempt_names_the_era_of_its_revision(monkeypatch):
+    eras = []
+    monkeypatch.setattr(
+        target_runs,
+        'emit',
+        lambda _kind, **fields: eras.append(fields.get('era')),
+    )
+    mesh = fleet()
+    restore_after(mesh, snapshot(mesh.store), 0.5)
+    mesh.advance(CONTACT_S)
+    mesh.send(mesh.hosts[0])
+    mesh.advance(1)
+    assert eras[-1] == 2
