--- a/marjoramlead/daemon.py
+++ b/marjoramlead/daemon.py
@@ -193,15 +193,15 @@
         node.listeners,
         node.reactor,
         deadline,
-        lambda unsent: _stop(node, unsent),
+        lambda open_count: _stop(node, open_count),
     )
 
 
-def _stop(node: Node, unsent: int) -> None:
-    if unsent:
+def _stop(node: Node, open_count: int) -> None:
+    if open_count:
         daemon_log.warning(
             'Stopping with %d open connections whose clients do not read.',
-            unsent,
+            open_count,
         )
     daemon_log.info('Node %s stopped.', node.settings['host'])
     node.driver.port.close()
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -41,8 +41,8 @@
 # Bytes of a refused body that are read and discarded; more than a body that is
 # within the limits of any routing table.
 MAX_DISCARDED_BYTES: Final = 100_000_000
-# The same in seconds without a byte, if the caller expects "100 Continue": it
-# may have begun to send its body without it, or may never send it.
+# Time without a byte after which the connection of a refused body is closed, if
+# the caller expects "100 Continue" and may therefore never send the body.
 UNSENT_BODY_TIMEOUT_S: Final = 1.0
 # Time for the first request of a connection that is new when its site closes.
 FIRST_REQUEST_WAIT_S: Final = 0.2
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -344,21 +344,21 @@
     if sidecar.is_closing:
         return
     sidecar.is_closing = True
-    # Some may wait again, with bodies that have arrived since the drain began.
+    # Requests whose bodies have arrived since the drain began may wait again.
     start_gate_drain(sidecar.gate)
     close_listeners(
         list(sidecar.listeners.values()),
         sidecar.reactor,
         shutdown.exit_by,
-        lambda unsent: _stop(sidecar, unsent),
+        lambda open_count: _stop(sidecar, open_count),
     )
 
 
-def _stop(sidecar: Sidecar, unsent: int) -> None:
+def _stop(sidecar: Sidecar, open_count: int) -> None:
     emit(
         'stop',
         in_flight=len(sidecar.frontend.in_flight),
         at_target=len(sidecar.gate.tasks),
-        open_connections=unsent,
+        open_connections=open_count,
     )
     sidecar.reactor.stop()
--- a/marjoramlead/listeners.py
+++ b/marjoramlead/listeners.py
@@ -22,8 +22,8 @@
 # Calls that accept connections. Twisted accepts a limited number in each, and
 # raises the limit if more wait.
 ACCEPT_CALLS: Final = 3
-# Time after the deadline in which answers are sent that were written at it, as
-# they are by a loop that is late.
+# Time after the deadline to send responses that a late loop writes in the same
+# iteration.
 LAST_SEND_S: Final = 0.02
 
 
--- a/marjoramlead/restoration.py
+++ b/marjoramlead/restoration.py
@@ -33,9 +33,10 @@
 
 # Time in which operators write again what a restored store has lost.
 OPERATOR_SETTLE_S: Final = 10.0
-# The same for an exclusion that was lifted. It is shorter, because operators
-# may have excluded the data centre anew before the first read of the restored
-# store, and that must be in force within five seconds.
+# Time for which a lifted exclusion that the copy still has stays lifted. It is
+# shorter than OPERATOR_SETTLE_S, because operators may have excluded the data
+# centre anew before the first read of the restored store, and that must be in
+# force within five seconds.
 LIFT_SETTLE_S: Final = 3.0
 # Time beyond the lease of an entry after which an entry that is still in the
 # store is that of a live target.
