--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -201,7 +201,9 @@
 ) -> Refusal | None:
     mesh_state = frontend.dispatcher.mesh_state
     if mesh_state.table is None:
-        return Refusal(Reason.NOT_READY, Verdict.NOT_RUN)
+        is_refused = mesh_state.refused_routing is not None
+        reason = Reason.ROUTING_REFUSED if is_refused else Reason.NOT_READY
+        return Refusal(reason, Verdict.NOT_RUN)
     context.version = mesh_state.table.version
     route = find_request_route(mesh_state.table, _header(req, b'host'), req.uri)
     if route is None:
--- a/marjoramlead/explanations.py
+++ b/marjoramlead/explanations.py
@@ -107,6 +107,12 @@
         'No action is needed if the version has just changed; otherwise check '
         'the connection of the sender to the store and to other nodes.',
     ),
+    Reason.ROUTING_REFUSED: (
+        'The node has not accepted any version of the routing table: the '
+        'newest one has a value that the node does not know.',
+        'Read refused_routing in the status, and publish a version without '
+        'that value or update the node.',
+    ),
     Reason.SILENT: (
         'No response arrived within the wait limit.',
         'Check the target: it may be hung or unreachable.',
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -18,7 +18,6 @@
 )
 from marjoramlead.events import emit
 from marjoramlead.feed_server import start_feed_drain
-from marjoramlead.generated.sidecar_status_types import SidecarStatus
 from marjoramlead.http_server import (
     Handler,
     HeadLimits,
@@ -30,7 +29,6 @@
     expire_held_targets,
     settle_deferred_changes,
 )
-from marjoramlead.metrics import register_gauge
 from marjoramlead.peer_requests import handle_peer_request
 from marjoramlead.problems import BufferedResponse
 from marjoramlead.sidecar import (
@@ -40,8 +38,8 @@
 )
 from marjoramlead.sidecar_status import (
     handle_operator_request,
-    queue_view,
-    target_views,
+    register_gauges,
+    sidecar_status,
 )
 from marjoramlead.store_watcher import start_watching
 from marjoramlead.target_gate import start_gate_drain
@@ -51,9 +49,6 @@
 __all__ = ('drain_sidecar', 'install_signal_handlers', 'start_sidecar')
 
 TICK_INTERVAL_S: Final = 0.25
-# Upper bound of the reported age of the mesh state, which is infinite until
-# the node first reaches the store or a peer.
-MAX_REPORTED_AGE_S: Final = 1e6
 # The target is probed at this interval, because it may turn cold without any
 # request noticing it.
 PROBE_INTERVAL_S: Final = 2.0
@@ -109,7 +104,7 @@
     if config.metrics_port is not None:
         address = (config.inbound[0], config.metrics_port)
         _listen(sidecar, address, lambda req: _answer_operator(sidecar, req))
-    _register_gauges(sidecar)
+    register_gauges(sidecar)
     start_watching(sidecar.store_watcher)
     ticks = LoopingCall(_tick, sidecar)
     ticks.clock = cast(IReactorTime, sidecar.reactor)
@@ -165,74 +160,7 @@
 def _answer_operator(sidecar: Sidecar, req: StreamRequest) -> None:
     recent_refusals = sidecar.frontend.recent_refusals.by_id
     handle_operator_request(
-        req, sidecar.metrics, _status(sidecar), recent_refusals
-    )
-
-
-def _status(sidecar: Sidecar) -> SidecarStatus:
-    now = sidecar.reactor.seconds()
-    mesh_state = sidecar.mesh_state
-    return {
-        'host': sidecar.config.host,
-        'data_centre': sidecar.config.data_centre,
-        'service': sidecar.config.service,
-        'version': mesh_state.table.version if mesh_state.table else 0,
-        'revision': mesh_state.revision.number,
-        'era': mesh_state.revision.era,
-        'news_age_s': min(now - mesh_state.confirmed_at, MAX_REPORTED_AGE_S),
-        'store_failures': sidecar.store_watcher.failures,
-        'stopping': sidecar.frontend.shutdown is not None,
-        'out': sorted(mesh_state.excluded),
-        'targets': target_views(mesh_state, sidecar.dispatcher.balancer, now),
-        'queue': queue_view(sidecar.gate.queue, now),
-    }
-
-
-def _register_gauges(sidecar: Sidecar) -> None:
-    queue = sidecar.gate.queue
-    mesh_state = sidecar.mesh_state
-    now = sidecar.reactor.seconds
-
-    def register(
-        name: str, description: str, read: Callable[[], float]
-    ) -> None:
-        register_gauge(sidecar.metrics, name, description, read)
-
-    register(
-        'target_running',
-        'Requests running at the target.',
-        lambda: len(queue.running),
-    )
-    register(
-        'target_waiting',
-        'Requests waiting for the target.',
-        lambda: len(queue.waiting),
-    )
-    register('target_slots', 'Slots of the target.', lambda: queue.slots)
-    register(
-        'target_cold_seconds',
-        'Seconds until the target is no longer cold.',
-        lambda: max(0, queue.cold_until - now()),
-    )
-    register(
-        'news_age_seconds',
-        'Seconds since the mesh state was last confirmed as current.',
-        lambda: now() - mesh_state.confirmed_at,
-    )
-    register(
-        'revision',
-        'Store revision that this node has reached.',
-        lambda: mesh_state.revision.number,
-    )
-    register(
-        'store_era',
-        'Number of restorations of the store, as this node knows it.',
-        lambda: mesh_state.revision.era,
-    )
-    register(
-        'version',
-        'Version of the current routing table.',
-        lambda: mesh_state.table.version if mesh_state.table else 0,
+        req, sidecar.metrics, sidecar_status(sidecar), recent_refusals
     )
 
 
--- a/marjoramlead/mesh_entries.py
+++ b/marjoramlead/mesh_entries.py
@@ -2,7 +2,15 @@
 
 from typing import NamedTuple
 
-__all__ = ('ExcludedDataCentre', 'TargetEntry', 'cold_until')
+from marjoramlead.routes import RoutingTable
+
+__all__ = (
+    'DecodedRecord',
+    'ExcludedDataCentre',
+    'RefusedRouting',
+    'TargetEntry',
+    'cold_until',
+)
 
 
 class TargetEntry(NamedTuple):
@@ -39,6 +47,30 @@
     data_centre: str
 
 
+class RefusedRouting(NamedTuple):
+    """A version of the routing configuration that cannot be used.
+
+    Attributes
+    ----------
+    version
+        None if it cannot be read.
+    path
+        Location of the field, such as ``Routes[shop].Kind``; empty if the
+        whole document is unreadable.
+    reason
+        What is wrong with its value, without a final period.
+    """
+
+    version: int | None
+    path: str
+    reason: str
+
+
+DecodedRecord = (
+    RoutingTable | RefusedRouting | TargetEntry | ExcludedDataCentre | None
+)
+
+
 def cold_until(entry: TargetEntry) -> float:
     """Return when a target is no longer cold, by its entry."""
     return entry.seen_at + entry.warmup_left_s
--- a/marjoramlead/mesh_state.py
+++ b/marjoramlead/mesh_state.py
@@ -9,7 +9,12 @@
 from functools import partial
 from typing import Final, NamedTuple
 
-from marjoramlead.mesh_entries import ExcludedDataCentre, TargetEntry
+from marjoramlead.mesh_entries import (
+    DecodedRecord,
+    ExcludedDataCentre,
+    RefusedRouting,
+    TargetEntry,
+)
 from marjoramlead.record_log import Record, RecordLog
 from marjoramlead.restoration import Restoration, is_from_copy
 from marjoramlead.revisions import NO_REVISION, Revision
@@ -50,7 +55,6 @@
     older_valid_until: float
 
 
-DecodedRecord = RoutingTable | TargetEntry | ExcludedDataCentre | None
 RecordDecoder = Callable[[Record, float], DecodedRecord]
 
 
@@ -98,6 +102,9 @@
         What is kept against the copy that the store was restored from.
     refused_records
         Number of records that could not be used.
+    refused_routing
+        Why the newest version of the routing table is not in force; None if it
+        is.
     """
 
     decode: RecordDecoder
@@ -120,6 +127,7 @@
     leaving: set[tuple[str, int]] = field(default_factory=set)
     restoration: Restoration = field(default_factory=Restoration)
     refused_records: int = 0
+    refused_routing: RefusedRouting | None = None
 
 
 def routing_deadline(mesh_state: MeshState, version: int) -> float:
--- a/marjoramlead/mesh_updates.py
+++ b/marjoramlead/mesh_updates.py
@@ -11,7 +11,12 @@
 from math import isfinite
 from typing import Final
 
-from marjoramlead.mesh_entries import ExcludedDataCentre, TargetEntry
+from marjoramlead.events import emit
+from marjoramlead.mesh_entries import (
+    ExcludedDataCentre,
+    RefusedRouting,
+    TargetEntry,
+)
 from marjoramlead.mesh_state import (
     MeshState,
     VersionReceipt,
@@ -219,8 +224,11 @@
     decoded = mesh_state.decode(record, now)
     if isinstance(decoded, RoutingTable):
         _replace_table(mesh_state, decoded, now)
+        mesh_state.refused_routing = None
         if not is_copied:
             note_new_routes(mesh_state.restoration)
+    elif isinstance(decoded, RefusedRouting):
+        _refuse_routing(mesh_state, decoded)
     elif decoded is None:
         _remove_target(mesh_state, key, now)
         mesh_state.refused_records += 1
@@ -245,6 +253,19 @@
         mesh_state.excluded[entry.data_centre] = key
 
 
+def _refuse_routing(mesh_state: MeshState, refused: RefusedRouting) -> None:
+    """Keep the table in force, and say which version is not."""
+    mesh_state.refused_routing = refused
+    mesh_state.refused_records += 1
+    emit(
+        'routing_refused',
+        refused_version=refused.version,
+        field=refused.path,
+        reason=refused.reason,
+        version=mesh_state.table.version if mesh_state.table else None,
+    )
+
+
 def _replace_table(
     mesh_state: MeshState, table: RoutingTable, now: float
 ) -> None:
--- a/marjoramlead/platform/settings.py
+++ b/marjoramlead/platform/settings.py
@@ -10,7 +10,7 @@
 from marjoramlead.generated.sidecar_types import SidecarSettings
 from marjoramlead.mesh_retry_budget import MeshRetryBudgetConfig
 from marjoramlead.parsing import load_json_object
-from marjoramlead.platform.decoding import parse_duration
+from marjoramlead.platform.fields import parse_duration
 from marjoramlead.sidecar_config import SidecarConfig
 
 __all__ = ('load_sidecar_config',)
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -1,8 +1,9 @@
 """Client of the platform's store, to list and watch its records."""
 
 from base64 import b64decode
+from collections.abc import Mapping
 from http import HTTPStatus
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, NamedTuple, TypeGuard
 from urllib.parse import urlencode
 
 import msgspec
@@ -44,6 +45,11 @@
 # and a node that has lost its parent cannot wait for a timeout.
 IDLE_TIMEOUT_S: Final = 1.0
 MS_PER_SECOND: Final = 1000
+# Field with the items of an answer, by endpoint.
+LIST_FIELDS: Final = {  # noqa: WPS407  # never modified
+    'kv-range': 'items',
+    'kv-watch': 'events',
+}
 MAX_PAGES: Final = 100
 # An era with more digits cannot be sent to other nodes.
 MAX_ERA_DIGITS: Final = 18
@@ -137,7 +143,9 @@
             records.extend(_decode_records(document['items'], era))
             if not document.get('MorePages'):
                 return Ok(StoreUpdate(records, revision, listed_prefix=prefix))
-            after = document['items'][-1]['Key']
+            if not records or records[-1].key <= after:
+                return Error(Fault('listing', 'no key to continue after'))
+            after = records[-1].key
         return Error(Fault('listing', f'more than {MAX_PAGES} pages'))
 
     async def _watch(
@@ -178,7 +186,9 @@
         send_result = await receive(
             self._reactor, self._pool, outgoing, deadline, MAX_TRANSFER_S
         )
-        response = _decode_response(send_result, self._era)
+        response = _decode_response(
+            send_result, self._era, LIST_FIELDS[endpoint]
+        )
         self._era = response.map(
             lambda answer: max(self._era, answer.era)
         ).default_value(self._era)
@@ -190,7 +200,7 @@
 
 
 def _decode_response(
-    send_result: SendResult | None, known_era: int
+    send_result: SendResult | None, known_era: int, list_field: str
 ) -> Result[_Answer, Fault]:
     if send_result is None:
         return Error(Fault('silent', 'no response in time'))
@@ -200,13 +210,26 @@
         return Error(Fault('history', 'the revision is no longer available'))
     if send_result.ok.status != HTTPStatus.OK:
         return Error(Fault('refused', f'status {send_result.ok.status}'))
+    era = _decode_era(send_result.ok.headers, known_era)
+    return _decode_document(send_result.ok.body, list_field).map(
+        lambda document: _Answer(document, era)
+    )
+
+
+def _decode_document(
+    body: bytes, list_field: str
+) -> Result[dict[str, Any], Fault]:
     try:
-        decoded = msgspec.json.decode(send_result.ok.body)
+        decoded = msgspec.json.decode(body)
     except msgspec.MsgspecError as exc:
         return Error(Fault('unreadable', str(exc)))
-    if not isinstance(decoded, dict) or 'CurrentRev' not in decoded:
+    if not isinstance(decoded, dict) or not _is_number(
+        decoded.get('CurrentRev')
+    ):
         return Error(Fault('unreadable', 'no revision in the response'))
-    return Ok(_Answer(decoded, _decode_era(send_result.ok.headers, known_era)))
+    if not isinstance(decoded.get(list_field), list):
+        return Error(Fault('unreadable', f'no {list_field} in the response'))
+    return Ok(decoded)
 
 
 def _decode_era(headers: HeaderList, known_era: int) -> int:
@@ -235,16 +258,38 @@
     return Ok(update)
 
 
-def _decode_records(items: list[dict[str, Any]], era: int) -> list[Record]:
+def _decode_records(items: list[object], era: int) -> list[Record]:
+    """Decode the items of an answer; leave out those without key or revision.
+
+    An item whose value cannot be read has an empty body, which names nothing
+    to use.
+    """
     records: list[Record] = []
     for item in items:
-        body: bytes | None = None
-        if not item.get('Deleted'):
-            try:
-                body = b64decode(item['Value'], validate=True)
-            except (KeyError, TypeError, ValueError) as exc:
-                emit('record_refused', key=item.get('Key'), reason=str(exc))
-                body = b''
+        if not _is_item(item):
+            emit('record_refused', key=None, reason=f'{item!r} is no item')
+            continue
+        body = None if item.get('Deleted') else _decode_value(item)
         revision = Revision(era, item['Revision'])
         records.append(Record(item['Key'], body, revision))
     return records
+
+
+def _is_item(item: object) -> TypeGuard[dict[str, Any]]:
+    return (
+        isinstance(item, dict)
+        and isinstance(item.get('Key'), str)
+        and _is_number(item.get('Revision'))
+    )
+
+
+def _is_number(raw: object) -> bool:
+    return isinstance(raw, int) and not isinstance(raw, bool)
+
+
+def _decode_value(item: Mapping[str, Any]) -> bytes:
+    try:
+        return b64decode(item['Value'], validate=True)
+    except (KeyError, TypeError, ValueError) as exc:
+        emit('record_refused', key=item['Key'], reason=str(exc))
+        return b''
--- a/marjoramlead/rendering.py
+++ b/marjoramlead/rendering.py
@@ -5,7 +5,10 @@
 
 from marjoramlead.explanations import explain_reason
 from marjoramlead.generated.contract_types import ContractDocument, ServiceTerms
-from marjoramlead.generated.sidecar_status_types import SidecarStatus
+from marjoramlead.generated.sidecar_status_types import (
+    RefusedRoutingView,
+    SidecarStatus,
+)
 from marjoramlead.porcelain import RolloutProgress
 from marjoramlead.reports import NodeStatus, TargetStatus
 from marjoramlead.verdict import Reason
@@ -133,6 +136,9 @@
         f'store data {status["news_age_s"]:.1f} s old  '
         f'store failures {status["store_failures"]}'
     )
+    refused = status['refused_routing']
+    if refused is not None:
+        yield f'  routing refused: {_refused_routing(refused)}'
     yield (
         f'  own target: {queue["running"]} of {queue["slots"]} slots, '
         f'{queue["waiting"]} waiting, cold for {queue["cold_s"]:.1f} s, '
@@ -147,3 +153,9 @@
             f'{target["expected_s"] * MS_PER_SECOND:5.0f} ms expected, '
             f'{target["failure_rate"]:.0%} failures'
         )
+
+
+def _refused_routing(refused: RefusedRoutingView) -> str:
+    number = refused['version']
+    version = 'a version without number' if number is None else f'{number:08x}'
+    return f'{version}, {refused["field"] or "document"} {refused["reason"]}'
--- a/marjoramlead/sidecar_status.py
+++ b/marjoramlead/sidecar_status.py
@@ -1,6 +1,6 @@
 """Answers to operators: metrics, status and recent refusals of a node."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import Final, Literal
 from urllib.parse import unquote
@@ -9,12 +9,14 @@
 
 from marjoramlead.generated.sidecar_status_types import (
     QueueView,
+    RefusedRoutingView,
     SidecarStatus,
     TargetView,
 )
 from marjoramlead.http_server import StreamRequest
+from marjoramlead.mesh_entries import RefusedRouting
 from marjoramlead.mesh_state import MeshState, TargetEntry, is_leaving
-from marjoramlead.metrics import Metrics, render_metrics
+from marjoramlead.metrics import Metrics, register_gauge, render_metrics
 from marjoramlead.placement import (
     BalancerState,
     TargetStats,
@@ -23,11 +25,15 @@
 )
 from marjoramlead.problems import BufferedResponse, json_response
 from marjoramlead.reports import RefusedCall
+from marjoramlead.sidecar import Sidecar
 from marjoramlead.target_queue import TargetQueue
 
-__all__ = ('handle_operator_request', 'queue_view', 'target_views')
+__all__ = ('handle_operator_request', 'register_gauges', 'sidecar_status')
 
 REFUSALS_PATH: Final = '/refusals/'
+# Upper bound of the reported age of the mesh state, which is infinite until
+# the node first reaches the store or a peer.
+MAX_REPORTED_AGE_S: Final = 1e6
 TargetState = Literal['usable', 'draining', 'out', 'held', 'spared']
 
 
@@ -57,7 +63,94 @@
         req.send_response(json_response(HTTPStatus.OK, document))
 
 
-def target_views(
+def sidecar_status(sidecar: Sidecar) -> SidecarStatus:
+    """Describe a node, for operators."""
+    now = sidecar.reactor.seconds()
+    mesh_state = sidecar.mesh_state
+    return {
+        'host': sidecar.config.host,
+        'data_centre': sidecar.config.data_centre,
+        'service': sidecar.config.service,
+        'version': mesh_state.table.version if mesh_state.table else 0,
+        'revision': mesh_state.revision.number,
+        'era': mesh_state.revision.era,
+        'news_age_s': min(now - mesh_state.confirmed_at, MAX_REPORTED_AGE_S),
+        'store_failures': sidecar.store_watcher.failures,
+        'refused_routing': _refused_routing_view(mesh_state.refused_routing),
+        'stopping': sidecar.frontend.shutdown is not None,
+        'out': sorted(mesh_state.excluded),
+        'targets': _target_views(mesh_state, sidecar.dispatcher.balancer, now),
+        'queue': _queue_view(sidecar.gate.queue, now),
+    }
+
+
+def register_gauges(sidecar: Sidecar) -> None:
+    """Register the gauges of a node, which are read at each scrape."""
+    queue = sidecar.gate.queue
+    mesh_state = sidecar.mesh_state
+    now = sidecar.reactor.seconds
+
+    def register(
+        name: str, description: str, read: Callable[[], float]
+    ) -> None:
+        register_gauge(sidecar.metrics, name, description, read)
+
+    register(
+        'target_running',
+        'Requests running at the target.',
+        lambda: len(queue.running),
+    )
+    register(
+        'target_waiting',
+        'Requests waiting for the target.',
+        lambda: len(queue.waiting),
+    )
+    register('target_slots', 'Slots of the target.', lambda: queue.slots)
+    register(
+        'target_cold_seconds',
+        'Seconds until the target is no longer cold.',
+        lambda: max(0, queue.cold_until - now()),
+    )
+    register(
+        'news_age_seconds',
+        'Seconds since the mesh state was last confirmed as current.',
+        lambda: now() - mesh_state.confirmed_at,
+    )
+    register(
+        'revision',
+        'Store revision that this node has reached.',
+        lambda: mesh_state.revision.number,
+    )
+    register(
+        'store_era',
+        'Number of restorations of the store, as this node knows it.',
+        lambda: mesh_state.revision.era,
+    )
+    register(
+        'version',
+        'Version of the current routing table.',
+        lambda: mesh_state.table.version if mesh_state.table else 0,
+    )
+    register(
+        'routing_refused',
+        'Whether the newest version of the routing table cannot be used.',
+        lambda: mesh_state.refused_routing is not None,
+    )
+
+
+def _refused_routing_view(
+    refused: RefusedRouting | None,
+) -> RefusedRoutingView | None:
+    if refused is None:
+        return None
+    return {
+        'version': refused.version,
+        'field': refused.path,
+        'reason': refused.reason,
+    }
+
+
+def _target_views(
     mesh_state: MeshState,
     balancer: BalancerState,
     now: float,
@@ -92,7 +185,7 @@
     return max(estimate_response_s(stats, now, route) for route in routes)
 
 
-def queue_view(queue: TargetQueue, now: float) -> QueueView:
+def _queue_view(queue: TargetQueue, now: float) -> QueueView:
     """Describe the local target's queue."""
     return {
         'slots': queue.slots,
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -17,6 +17,7 @@
 
 from expression import Error, Result
 from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 
 from marjoramlead.address import Address
 from marjoramlead.clock import Clock
@@ -187,10 +188,17 @@
 
 
 def start_watching(watcher: StoreWatcher) -> None:
-    """Start to watch the store, for the life of the process."""
-    Deferred.fromCoroutine(_watch_store(watcher)).addErrback(
-        lambda failure: emit('bug', error=failure.getTraceback()),
-    )
+    """Start to watch the store, for the life of the process.
+
+    After an exception that nothing handles, the records are listed anew.
+    """
+
+    def restart(failure: Failure) -> None:
+        emit('bug', error=failure.getTraceback())
+        watcher.after = NO_REVISION
+        watcher.reactor.callLater(BACKOFF_MAX_S, start_watching, watcher)
+
+    Deferred.fromCoroutine(_watch_store(watcher)).addErrback(restart)
 
 
 def note_reported_revision(watcher: StoreWatcher, revision: Revision) -> None:
--- a/marjoramlead/verdict.py
+++ b/marjoramlead/verdict.py
@@ -38,6 +38,7 @@
     OVERLOAD = 'overload'
     RATE_LIMIT = 'rate_limit'
     ROUTE_CHANGED = 'route_changed'
+    ROUTING_REFUSED = 'routing_refused'
     SILENT = 'silent'
     TARGET_FAILED = 'target_failed'
     TARGET_FULL = 'target_full'
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,11 +1,15 @@
 """The client of the store: eras of its answers."""
 
+import json
+
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.web.http_headers import Headers
 
 from marjoramlead.http_server import make_site
 from marjoramlead.metrics import Metrics
 from marjoramlead.platform.store import PlatformStore
+from marjoramlead.problems import BufferedResponse
 from standins.platform_store import (
     PAGE_SIZE,
     handle_store,
@@ -98,3 +102,40 @@
     mesh, client = store_client()
     mesh.store.era = era
     assert answer_of(mesh, client.list_all()).ok.revision == rev(4)
+
+
+def answer_with(mesh, document):
+    """Let the store answer each call with a document."""
+    raw = json.dumps(document).encode()
+
+    def answer(req):
+        req.send_response(BufferedResponse(200, Headers(), raw))
+
+    mesh.net.sites[STORE] = make_site(answer, mesh.reactor)
+
+
+@pytest.mark.parametrize(
+    'document',
+    [
+        {},
+        [],
+        {'CurrentRev': '4', 'items': []},
+        {'CurrentRev': 4},
+        {'CurrentRev': 4, 'items': {}},
+        {'CurrentRev': 4, 'items': [], 'MorePages': True},
+        {'CurrentRev': 4, 'items': [{'Key': 5}], 'MorePages': True},
+    ],
+)
+def test_listing_in_another_shape_is_a_fault(document):
+    mesh, client = store_client()
+    answer_with(mesh, document)
+    assert answer_of(mesh, client.list_all()).is_error()
+
+
+def test_item_in_another_shape_is_left_out():
+    mesh, client = store_client()
+    sound = {'Key': 'op/evacuate/a', 'Value': 'e30=', 'Revision': 3}
+    odd = [3, {}, {'Key': 'a'}, {'Key': 4, 'Revision': 1}, {'Revision': 2}]
+    answer_with(mesh, {'CurrentRev': 4, 'items': [*odd, sound]})
+    listing = answer_of(mesh, client.list_all()).ok
+    assert [record.key for record in listing.records] == ['op/evacuate/a']
