A node that learns of a restoration late knows what was written since

Cause: all records that a node had when it first read an era counted as those of the copy, though its parent had seen many of them written later.

A feed now says up to which revision records may be from the copy. What is missing from the parent's listing is still taken for missing from the copy only, unless the parent has its deletion.

--- a/marjoramlead/feed_client.py
+++ b/marjoramlead/feed_client.py
@@ -15,6 +15,7 @@
     FeedQuery,
     decode_feed,
     encode_feed_query,
+    feed_copied_until,
     feed_revision,
     records_from_feed,
 )
@@ -23,6 +24,7 @@
 from marjoramlead.mesh_updates import (
     apply_records,
     confirm_revision,
+    enter_era,
     remove_unlisted,
 )
 from marjoramlead.metrics import Metrics, traffic_counter
@@ -146,6 +148,7 @@
         return []
     if revision >= mesh_state.revision:
         made_at = min(sent_at + document.get('held_s', 0), now)
+        enter_era(mesh_state, feed_copied_until(document), now)
         confirm_revision(mesh_state, revision, made_at - document['age_s'], now)
     changed = apply_records(mesh_state, decoded.ok, now)
     for listing in document.get('listings', []):
--- a/marjoramlead/feeds.py
+++ b/marjoramlead/feeds.py
@@ -39,6 +39,7 @@
     'decode_feed_query',
     'encode_feed',
     'encode_feed_query',
+    'feed_copied_until',
     'feed_revision',
     'make_feed_query',
     'records_from_feed',
@@ -143,6 +144,9 @@
             for record in records_after(mesh_state.records, query.after)
         ],
     }
+    first_revision = mesh_state.restoration.first_revision
+    if first_revision.era and first_revision.era == mesh_state.revision.era:
+        document['copied_until'] = first_revision.number
     return msgspec.msgpack.encode(document)
 
 
@@ -163,6 +167,17 @@
     return Revision(document.get('era', NO_REVISION.era), document['revision'])
 
 
+def feed_copied_until(document: FeedDocument) -> Revision:
+    """Return up to which revision records may be from the store's copy.
+
+    Without the word of a node that has seen the era begin, that holds for all
+    records of the document.
+    """
+    revision = feed_revision(document)
+    number = document.get('copied_until', revision.number)
+    return min(revision, Revision(revision.era, number))
+
+
 def records_from_feed(
     mesh_state: MeshState, document: FeedDocument
 ) -> Result[list[Record], Fault]:
--- a/marjoramlead/mesh_updates.py
+++ b/marjoramlead/mesh_updates.py
@@ -32,9 +32,9 @@
     unlisted_records,
 )
 from marjoramlead.restoration import (
+    begin_era,
     choose_entry,
     defer_deletion,
-    enter_era,
     forget_copy,
     is_from_copy,
     note_departure,
@@ -47,6 +47,7 @@
 __all__ = (
     'apply_records',
     'confirm_revision',
+    'enter_era',
     'expire_held_targets',
     'remove_unlisted',
     'settle_deferred_changes',
@@ -119,7 +120,9 @@
     log = mesh_state.records
     mark_compacted(log, prefix, revision)
     deletions = [
-        Record(record.key, None, revision)
+        Record(
+            record.key, None, _deletion_revision(mesh_state, record, revision)
+        )
         for record in unlisted_records(log, set(keys), prefix)
         if record.revision < revision
     ]
@@ -150,8 +153,7 @@
     gap = confirmed_at - mesh_state.confirmed_at
     if isfinite(gap) and gap > MIN_OUTAGE_S:
         mesh_state.reconnected_at = now
-    if revision.era > mesh_state.revision.era:
-        _enter_era(mesh_state, revision, now)
+    enter_era(mesh_state, revision, now)
     if revision > mesh_state.revision:
         mesh_state.unchanged_until = mesh_state.confirmed_at
     if revision >= mesh_state.revision:
@@ -159,6 +161,35 @@
         mesh_state.confirmed_at = max(mesh_state.confirmed_at, confirmed_at)
 
 
+def enter_era(
+    mesh_state: MeshState, copied_until: Revision, now: float
+) -> None:
+    """Prepare for the records of a restored store, if it is a later era.
+
+    Entries that it lacks are written again within the time allowed after an
+    outage, also those that were missing before. A node that knows no records
+    takes the copy as it is.
+
+    Parameters
+    ----------
+    mesh_state
+        State to change.
+    copied_until
+        Revision up to which records may be from the copy.
+    now
+        Current time on the node's monotonic clock.
+    """
+    known = max(mesh_state.revision, mesh_state.restoration.first_revision)
+    is_later = copied_until.era > known.era
+    if mesh_state.revision == NO_REVISION or not is_later:
+        return
+    drop_older_tombstones(mesh_state.records, copied_until.era)
+    begin_era(mesh_state.restoration, copied_until, now)
+    mesh_state.reconnected_at = now
+    held_until = now + REREGISTRATION_GRACE_S
+    mesh_state.held_until = dict.fromkeys(mesh_state.held_until, held_until)
+
+
 def expire_held_targets(mesh_state: MeshState, now: float) -> list[str]:
     """Remove targets that have not registered again after a store outage.
 
@@ -197,20 +228,19 @@
     return list(settled)
 
 
-def _enter_era(mesh_state: MeshState, revision: Revision, now: float) -> None:
-    """Prepare for the records of a restored store.
+def _deletion_revision(
+    mesh_state: MeshState, record: Record, listed_at: Revision
+) -> Revision:
+    """Return the revision of the deletion of a record that is not listed.
 
-    Entries that it lacks are written again within the time allowed after an
-    outage, also those that were missing before. A node that knows no records
-    takes the copy as it is.
+    One of an earlier era may be missing from the copy only; nobody has deleted
+    it in this era then.
     """
-    if mesh_state.revision == NO_REVISION:
-        return
-    drop_older_tombstones(mesh_state.records, revision.era)
-    enter_era(mesh_state.restoration, revision, now)
-    mesh_state.reconnected_at = now
-    held_until = now + REREGISTRATION_GRACE_S
-    mesh_state.held_until = dict.fromkeys(mesh_state.held_until, held_until)
+    first_revision = mesh_state.restoration.first_revision
+    is_of_earlier_era = record.revision.era < listed_at.era
+    if is_of_earlier_era and first_revision.era == listed_at.era:
+        return min(listed_at, first_revision)
+    return listed_at
 
 
 def _apply_record(mesh_state: MeshState, record: Record, now: float) -> None:
--- a/marjoramlead/restoration.py
+++ b/marjoramlead/restoration.py
@@ -21,9 +21,9 @@
 
 __all__ = (
     'Restoration',
+    'begin_era',
     'choose_entry',
     'defer_deletion',
-    'enter_era',
     'forget_copy',
     'is_from_copy',
     'note_departure',
@@ -86,9 +86,10 @@
     lease_s
         Time after which the store removes the entry of a silent target.
     first_revision
-        First revision of the current era that this node has read. All records
-        up to it may be from the copy. It is ``NO_REVISION`` before the first
-        restoration that this node has seen.
+        First revision of the current era that this node has read, or that the
+        node that it learned of the era from has read. All records up to it may
+        be from the copy. It is ``NO_REVISION`` before the first restoration
+        that this node has seen.
     departures
         Deletions that this node has seen, by record key, the oldest first.
     deferred
@@ -104,8 +105,8 @@
     routes_settle_at: float = float('-inf')
 
 
-def enter_era(restoration: Restoration, revision: Revision, now: float) -> None:
-    """Note the first revision that this node reads of a later era."""
+def begin_era(restoration: Restoration, revision: Revision, now: float) -> None:
+    """Note up to which revision records of a later era may be from the copy."""
     restoration.first_revision = revision
     restoration.routes_settle_at = now + OPERATOR_SETTLE_S
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -506,3 +506,43 @@
     changed['base_era'] = 1
     assert not apply_feed(behind, document, 0, 0)
     assert behind.table.version == 1
+
+
+def send_late(behind, ahead, *written):
+    """Let a node learn of an era after records were written in it."""
+    for number, (key, body) in enumerate(written, start=5):
+        revision = rev(number, era=1)
+        confirm_revision(ahead, revision, 1, 1)
+        apply_records(ahead, [Record(key, body, revision)], 1)
+    send_feed(ahead, behind)
+
+
+def test_exclusion_that_nobody_lifted_is_kept_by_a_node_that_learns_late():
+    """The parent did not know of it when the store was restored."""
+    behind, ahead = restored_mesh_states()
+    apply_records(behind, [Record('op/evacuate/d', b'{}', rev(8))], 0)
+    confirm_revision(behind, rev(8), 0, 0)
+    send_late(behind, ahead, ('op/evacuate/e', b'{}'))
+    assert {'d', 'e'} <= set(behind.excluded)
+
+
+def test_exclusion_written_and_lifted_in_the_era_is_lifted_at_once():
+    behind, ahead = restored_mesh_states()
+    assert 'b' in behind.excluded
+    send_late(behind, ahead, ('op/evacuate/b', b'{}'), ('op/evacuate/b', None))
+    assert 'b' not in behind.excluded
+
+
+def test_node_that_learned_of_an_era_late_tells_its_beginning():
+    behind, ahead = restored_mesh_states()
+    other, _ahead = restored_mesh_states()
+    send_late(behind, ahead, ('op/evacuate/b', b'{}'), ('op/evacuate/b', None))
+    send_feed(behind, other)
+    assert 'b' not in other.excluded
+
+
+def test_node_that_has_not_seen_the_era_begin_does_not_tell_it():
+    ahead = mesh_state_with()
+    confirm_revision(ahead, rev(4, era=1), 0, 0)
+    raw = encode_feed(ahead, FeedQuery(NO_REVISION), 0)
+    assert 'copied_until' not in decode_feed(raw).ok
