Two readers of the store for the fleet, and seeds at the start

Cause: a node ranked itself among the hosts that it knew, so that each node of a fleet that starts took itself for the first one and watched the store while entries came in (12 calls a host before any request); and each data centre had a reader of its own, six on the large site.

Readers are now the first nodes of two data centres. A node whose target is not known yet is not ranked; without any known target it follows a seed.

--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -1,6 +1,5 @@
 """The sidecar, a node beside one target: its parts and their assembly."""
 
-from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -15,7 +14,7 @@
 from marjoramlead.dispatch import Dispatcher
 from marjoramlead.feed_client import FeedClient
 from marjoramlead.feed_server import FeedServer, answer_pending_reads
-from marjoramlead.feed_tree import choose_sources
+from marjoramlead.feed_tree import FeedAddresses, choose_addresses
 from marjoramlead.header_names import HeaderNames
 from marjoramlead.hop_client import HopClient
 from marjoramlead.ledger import AttemptLedger
@@ -27,7 +26,6 @@
 from marjoramlead.routes import RoundRobinState
 from marjoramlead.sidecar_config import SidecarConfig
 from marjoramlead.store_watcher import (
-    FeedAddresses,
     Store,
     StoreWatcher,
     note_reported_revision,
@@ -186,6 +184,7 @@
         metrics,
         adapter,
     )
+    sidecar.feed_sources = _feed_sources(sidecar)
     return sidecar
 
 
@@ -198,15 +197,13 @@
 
 
 def _feed_sources(sidecar: Sidecar) -> FeedAddresses:
-    hosts: defaultdict[str, set[str]] = defaultdict(set)
-    for entry in sidecar.mesh_state.targets.values():
-        hosts[entry.data_centre].add(entry.address[0])
-    own_host, port = sidecar.config.inbound
-    sources = choose_sources(own_host, sidecar.config.data_centre, hosts)
-    alternates = [(host, port) for host in sources.alternates]
-    if sources.parent is None:
-        return FeedAddresses(None, alternates)
-    return FeedAddresses((sources.parent, port), alternates)
+    config = sidecar.config
+    return choose_addresses(
+        config.inbound,
+        config.data_centre,
+        sidecar.mesh_state.targets.values(),
+        config.seeds,
+    )
 
 
 def apply_mesh_changes(sidecar: Sidecar) -> None:
--- a/marjoramlead/store_watcher.py
+++ b/marjoramlead/store_watcher.py
@@ -1,10 +1,10 @@
 """Keep the node's records current, from the store or from another node.
 
-One node of each data centre reads the store. Every other node follows that
-node, or one that does: it reads the records of its parent, which answers as
+Two nodes of the fleet read the store. Every other node follows one of them, or
+a node that does: it reads the records of its parent, which answers as
 soon as it has changes or has confirmed that there are none. A node whose parent
 fails, or whose parent's data is too old, reads the store itself. A node whose
-calls to the store fail follows the reader of another data centre.
+calls to the store fail follows a node of another data centre.
 
 A node queries a random peer if neither succeeds, or if another node reports a
 revision that it does not receive in time.
@@ -24,6 +24,7 @@
 from marjoramlead.errors import Fault
 from marjoramlead.events import emit
 from marjoramlead.feed_client import FeedClient, apply_feed, read_feed
+from marjoramlead.feed_tree import FeedAddresses
 from marjoramlead.feeds import make_feed_query
 from marjoramlead.generated.hop_types import FeedDocument
 from marjoramlead.mesh_state import MeshState
@@ -37,7 +38,6 @@
 from marjoramlead.revisions import NO_REVISION, Revision, may_follow
 
 __all__ = (
-    'FeedAddresses',
     'Store',
     'StoreUpdate',
     'StoreWatcher',
@@ -123,21 +123,6 @@
         """Read the changes after a revision without intermediate versions."""
 
 
-class FeedAddresses(NamedTuple):
-    """Nodes whose records a node may read.
-
-    Attributes
-    ----------
-    parent
-        Node to follow; None if this node reads the store.
-    alternates
-        Nodes to follow if the parent or the store fails.
-    """
-
-    parent: Address | None
-    alternates: list[Address]
-
-
 @dataclass(slots=True)
 class StoreWatcher:
     """Progress of this node in learning the store's records.
