--- a/bench/latency.py
+++ b/bench/latency.py
@@ -31,7 +31,7 @@
 from marjoramlead.clock import Reactor
 from marjoramlead.errors import NodeError
 from marjoramlead.http_client import make_agent
-from marjoramlead.loop import install_reactor
+from marjoramlead.loop import install_asyncio_reactor
 from marjoramlead.node_client import fetch_status, publish
 
 CONTRACT = Path('examples') / 'tamworth.json'
@@ -213,7 +213,7 @@
         Print the results as one JSON object on the last line.
     """
     members = build_members(('tamworth', 'walsall'), [('tamworth', 'kits')])
-    reactor = install_reactor()
+    reactor = install_asyncio_reactor()
     results: list[Result] = []
     with (
         tempfile.TemporaryDirectory() as folder,
--- a/bench/propagation.py
+++ b/bench/propagation.py
@@ -27,7 +27,7 @@
 from marjoramlead import agent, daemon_cli, source
 from marjoramlead.agent import Agent
 from marjoramlead.clock import Reactor
-from marjoramlead.loop import install_reactor
+from marjoramlead.loop import install_asyncio_reactor
 from marjoramlead.peers import PeerView
 
 FANOUT = 4
@@ -118,7 +118,7 @@
 
 def install_reactor_and_seed(seed: str) -> Reactor:
     """Install the reactor and seed the node's random choices."""
-    reactor = install_reactor()
+    reactor = install_asyncio_reactor()
     from marjoramlead import daemon  # requires an installed reactor
 
     setattr(daemon, Random.__name__, partial(Random, seed))
@@ -138,7 +138,7 @@
     """
     apply_strategy(way)
     seeded = partial(install_reactor_and_seed, settings.stem)
-    setattr(daemon_cli, install_reactor.__name__, seeded)
+    setattr(daemon_cli, install_asyncio_reactor.__name__, seeded)
     return daemon_cli.run(settings=settings)
 
 
--- a/marjoramlead/daemon_cli.py
+++ b/marjoramlead/daemon_cli.py
@@ -8,7 +8,7 @@
 
 from marjoramlead import logs
 from marjoramlead.errors import SettingsError
-from marjoramlead.loop import install_reactor
+from marjoramlead.loop import install_asyncio_reactor
 from marjoramlead.settings import load_settings
 
 __all__ = ('app', 'main')
@@ -42,7 +42,7 @@
         sys.stdout.write(f'{settings}: settings are valid\n')
         return 0
     logs.configure_logging(loaded.get('log_level', 'info'))
-    reactor = install_reactor()
+    reactor = install_asyncio_reactor()
     from marjoramlead.daemon import (  # the import needs the reactor
         build_node,
         start_node,
--- a/standins/source.py
+++ b/standins/source.py
@@ -19,7 +19,7 @@
 from marjoramlead.body_reader import collect_body
 from marjoramlead.clock import Clock
 from marjoramlead.http_server import StreamRequest, make_site
-from marjoramlead.loop import install_reactor
+from marjoramlead.loop import install_asyncio_reactor
 from marjoramlead.problems import json_response
 from marjoramlead.verdict import Refusal
 
@@ -220,7 +220,7 @@
     address
         Address to listen on.
     """
-    reactor = install_reactor()
+    reactor = install_asyncio_reactor()
     source = Source(reactor)
     site = make_site(lambda req: handle(source, req), reactor)
     reactor.listenTCP(port, site, interface=address)
--- a/standins/target.py
+++ b/standins/target.py
@@ -20,7 +20,7 @@
 from marjoramlead import headers as names
 from marjoramlead.clock import Clock
 from marjoramlead.http_server import StreamRequest, make_site
-from marjoramlead.loop import install_reactor
+from marjoramlead.loop import install_asyncio_reactor
 from marjoramlead.problems import json_response, refusal_response
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
@@ -240,7 +240,7 @@
     work_ms
         Default duration of a request in milliseconds.
     """
-    reactor = install_reactor()
+    reactor = install_asyncio_reactor()
     target = Target(reactor, host, slots, cold_slots, warm_answers, work_ms)
     site = make_site(lambda req: handle(target, req), reactor)
     reactor.listenTCP(port, site, interface='127.0.0.1')
