Routes of a new version are decoded only where their rows changed

Cause: processor time. Each version was decoded whole, row by row, though it changes a few of its rows.

--- a/marjoramlead/platform/__main__.py
+++ b/marjoramlead/platform/__main__.py
@@ -3,6 +3,7 @@
 import os
 import sys
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import TypeVar
@@ -28,6 +29,7 @@
         PLATFORM_HEADER_NAMES,
         parent_request_id,
     )
+    from marjoramlead.platform.routing import RouteCache
     from marjoramlead.platform.settings import load_sidecar_config
     from marjoramlead.platform.store import PlatformStore
     from marjoramlead.sidecar import PlatformAdapter, build_sidecar
@@ -41,7 +43,7 @@
     configure_event_log(config.host)
     adapter = PlatformAdapter(
         PLATFORM_HEADER_NAMES,
-        decode_record,
+        partial(decode_record, RouteCache()),
         lambda metrics: PlatformStore(reactor, config.store, metrics),
         _make_reloader(path, load_sidecar_config),
         parent_request_id,
--- a/marjoramlead/platform/decoding.py
+++ b/marjoramlead/platform/decoding.py
@@ -24,7 +24,7 @@
     EVACUATION_PREFIX,
     TARGET_PREFIX,
 )
-from marjoramlead.platform.routing import decode_routing_table
+from marjoramlead.platform.routing import RouteCache, decode_routing_table
 from marjoramlead.record_log import Record
 
 __all__ = ('decode_record',)
@@ -32,14 +32,16 @@
 TARGET_STATES: Final = ('ready', 'draining')
 
 
-def decode_record(record: Record, now: float) -> DecodedRecord:
+def decode_record(
+    cache: RouteCache, record: Record, now: float
+) -> DecodedRecord:
     """Decode one record of the store; return None if it names nothing to use.
 
     Invalid entries of targets are logged; records with an unknown key are
     ignored. A routing table that cannot be used is returned as refused.
     """
     try:
-        return _decode(record, now)
+        return _decode(cache, record, now)
     except (KeyError, TypeError, ValueError) as exc:
         emit(
             'record_refused',
@@ -51,11 +53,11 @@
     return None
 
 
-def _decode(record: Record, now: float) -> DecodedRecord:
+def _decode(cache: RouteCache, record: Record, now: float) -> DecodedRecord:
     if record.key.startswith(EVACUATION_PREFIX):
         return ExcludedDataCentre(record.key.removeprefix(EVACUATION_PREFIX))
     if record.key == CONFIG_KEY:
-        return decode_routing_table(record.body or b'')
+        return decode_routing_table(cache, record.body or b'')
     if record.key.startswith(TARGET_PREFIX):
         return _decode_target(record, now)
     return None
--- a/marjoramlead/platform/routing.py
+++ b/marjoramlead/platform/routing.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from typing import Any, Final, NamedTuple, TypeVar, cast
 
 import msgspec
@@ -25,7 +26,7 @@
     WeightedService,
 )
 
-__all__ = ('decode_routing_table',)
+__all__ = ('RouteCache', 'decode_routing_table')
 
 RETRY_POLICY_BY_KIND: Final[Mapping[str, RetryPolicy]] = {  # noqa: WPS407  # never modified
     'download': 'idempotent',
@@ -58,25 +59,56 @@
     values_by_column: Mapping[str, Any]
 
 
-def decode_routing_table(body: bytes) -> RoutingTable | RefusedRouting:
+@dataclass(slots=True)
+class RouteCache:
+    """Decoded routes of the last version, most of which the next one keeps.
+
+    Attributes
+    ----------
+    columns
+        Columns of the rows.
+    by_row
+        Decoded routes by the encoded text of their rows.
+    """
+
+    columns: list[str] = field(default_factory=list)
+    by_row: dict[bytes, Route] = field(default_factory=dict)
+
+
+OBJECT_DECODER: Final = msgspec.json.Decoder(dict[str, msgspec.Raw])
+COLUMNS_DECODER: Final = msgspec.json.Decoder(list[str])
+ROWS_DECODER: Final = msgspec.json.Decoder(list[msgspec.Raw])
+# Encoded value of a field that is missing.
+NULL: Final = msgspec.Raw(b'null')
+
+
+def decode_routing_table(
+    cache: RouteCache, body: bytes
+) -> RoutingTable | RefusedRouting:
     """Decode a routing configuration, or tell why it is refused."""
     try:
-        document = msgspec.json.decode(body)
+        encoded = OBJECT_DECODER.decode(body)
     except msgspec.MsgspecError as exc:
         return RefusedRouting(None, '', str(exc))
-    if not isinstance(document, dict):
-        return RefusedRouting(None, '', 'is not an object')
-    top_level = _Row('', document)
+    routes = encoded.pop('Routes', NULL)
+    document = _Row(
+        '', {name: msgspec.json.decode(raw) for name, raw in encoded.items()}
+    )
     version: int | None = None
     try:
-        version = _read(top_level, 'Version', _parse_version)
-        return _decode_table(version, top_level)
+        version = _read(document, 'Version', _parse_version)
+        return _decode_table(cache, version, document, routes)
     except _FieldError as exc:
         return RefusedRouting(version, exc.path, exc.reason)
 
 
-def _decode_table(version: int, document: _Row) -> RoutingTable:
-    routes = list(map(_decode_route, _read_rows(document, 'Routes')))
+def _decode_table(
+    cache: RouteCache,
+    version: int,
+    document: _Row,
+    encoded_routes: msgspec.Raw,
+) -> RoutingTable:
+    routes = _decode_routes(cache, encoded_routes)
     services = list(map(_decode_service, _read_rows(document, 'Services')))
     return RoutingTable(
         version=version,
@@ -86,6 +118,30 @@
     )
 
 
+def _decode_routes(cache: RouteCache, encoded: msgspec.Raw) -> list[Route]:
+    """Decode the routes whose rows are not those of the last version."""
+    try:
+        columns, rows = _split_rows(encoded)
+    except msgspec.MsgspecError as exc:
+        raise _FieldError('Routes', str(exc)) from exc
+    known = cache.by_row if cache.columns == columns else {}
+    by_row: dict[bytes, Route] = {}
+    for index, raw in enumerate(rows):
+        row = bytes(raw)
+        by_row[row] = known.get(row) or _decode_route(
+            _make_row('Routes', index, columns, msgspec.json.decode(row))
+        )
+    cache.columns = columns
+    cache.by_row = by_row
+    return list(by_row.values())
+
+
+def _split_rows(encoded: msgspec.Raw) -> tuple[list[str], list[msgspec.Raw]]:
+    table = OBJECT_DECODER.decode(encoded)
+    columns = COLUMNS_DECODER.decode(table.get('Columns', NULL))
+    return columns, ROWS_DECODER.decode(table.get('Rows', NULL))
+
+
 def _read(row: _Row, column: str, parse: Callable[[object], Value]) -> Value:
     """Return the parsed value of a field, which must be present."""
     raw = row.values_by_column.get(column)
@@ -111,14 +167,18 @@
     """Return the rows of a table that is encoded as columns and rows."""
     table = _Row(name, _read(document, name, _require_object))
     columns = _read(table, 'Columns', _require_list)
-    rows: list[_Row] = []
-    for index, raw in enumerate(_read(table, 'Rows', _require_list)):
-        if not isinstance(raw, list):
-            raise _FieldError(f'{name}[{index}]', 'is not a list')
-        by_column = dict(zip(columns, raw, strict=False))
-        label = by_column.get('Name') or index
-        rows.append(_Row(f'{name}[{label}]', by_column))
-    return rows
+    return [
+        _make_row(name, index, columns, raw)
+        for index, raw in enumerate(_read(table, 'Rows', _require_list))
+    ]
+
+
+def _make_row(table: str, index: int, columns: list[str], raw: object) -> _Row:
+    if not isinstance(raw, list):
+        raise _FieldError(f'{table}[{index}]', 'is not a list')
+    by_column = dict(zip(columns, raw, strict=False))
+    label = by_column.get('Name') or index
+    return _Row(f'{table}[{label}]', by_column)
 
 
 def _decode_route(row: _Row) -> Route:
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -1,6 +1,7 @@
 """A mesh of sidecars, a store and targets in memory under a virtual clock."""
 
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 
 from twisted.internet.protocol import Factory
@@ -14,6 +15,7 @@
     PLATFORM_HEADER_NAMES,
     parent_request_id,
 )
+from marjoramlead.platform.routing import RouteCache
 from marjoramlead.platform.store import PlatformStore
 from marjoramlead.sidecar import PlatformAdapter, Sidecar, build_sidecar
 from marjoramlead.sidecar_config import SidecarConfig
@@ -259,7 +261,7 @@
         )
         adapter = PlatformAdapter(
             PLATFORM_HEADER_NAMES,
-            decode_record,
+            partial(decode_record, RouteCache()),
             lambda metrics: PlatformStore(
                 host.reactor, STORE, metrics, self.connect_store(host)
             ),
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -12,6 +12,7 @@
 )
 from marjoramlead.platform.decoding import decode_record
 from marjoramlead.platform.fields import parse_duration
+from marjoramlead.platform.routing import RouteCache
 from marjoramlead.record_log import Record
 from marjoramlead.routes import RoutingTable, WeightedService, find_route
 from tests.platform_mesh import config, route
@@ -33,7 +34,7 @@
 def decode(key, document):
     raw = document if isinstance(document, bytes) else json.dumps(document)
     body = raw if isinstance(raw, bytes) else raw.encode()
-    return decode_record(Record(key, body, rev(7)), 50.0)
+    return decode_record(RouteCache(), Record(key, body, rev(7)), 50.0)
 
 
 def test_target_entry_is_decoded():
@@ -114,3 +115,18 @@
     assert parse_duration('2.5s') == 2.5
     assert parse_duration('1500ms') == 1.5
     assert parse_address('10.0.0.1:80') == ('10.0.0.1', 80)
+
+
+def test_version_that_keeps_most_rows_is_decoded_like_a_first_one():
+    """Rows are added, removed, changed and moved; then a column is added."""
+    kept = [route(f'r{number}', 'safe', 'web') for number in range(9)]
+    changed = [*kept[4:], route('r1', 'unsafe', 'api'), *kept[2:4]]
+    documents = [config(1, routes=kept), config(2, routes=changed)]
+    wider = config(3, routes=kept)
+    wider['Routes']['Columns'].insert(0, 'Note')
+    for row in wider['Routes']['Rows']:
+        row.insert(0, 'text')
+    cache = RouteCache()
+    for document in (*documents, wider, documents[0]):
+        record = Record('op/config', json.dumps(document).encode(), rev(7))
+        assert decode_record(cache, record, 1) == decode('op/config', document)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,6 +1,7 @@
 """Records that nodes pass on to each other, while readers and links fail."""
 
 import json
+from functools import partial
 from random import Random
 
 import pytest
@@ -28,6 +29,7 @@
     remove_unlisted,
 )
 from marjoramlead.platform.decoding import decode_record
+from marjoramlead.platform.routing import RouteCache
 from marjoramlead.record_log import Record
 from marjoramlead.revisions import NO_REVISION
 from marjoramlead.store_watcher import MAX_FEED_AGE_S, WATCH_TIMEOUT_S
@@ -243,7 +245,7 @@
 
 
 def mesh_state_with(*records):
-    mesh_state = MeshState(decode_record)
+    mesh_state = MeshState(partial(decode_record, RouteCache()))
     apply_records(mesh_state, records, 0)
     return mesh_state
 
--- a/tests/test_refused_routing.py
+++ b/tests/test_refused_routing.py
@@ -8,6 +8,7 @@
 from marjoramlead.mesh_entries import RefusedRouting
 from marjoramlead.metrics import render_metrics
 from marjoramlead.platform.decoding import decode_record
+from marjoramlead.platform.routing import RouteCache
 from marjoramlead.record_log import Record
 from marjoramlead.rendering import sidecar_lines
 from marjoramlead.revisions import NO_REVISION
@@ -24,7 +25,7 @@
 
 def decode(document):
     body = json.dumps(document).encode()
-    return decode_record(Record(CONFIG, body, rev(7)), 50.0)
+    return decode_record(RouteCache(), Record(CONFIG, body, rev(7)), 50.0)
 
 
 def with_route_value(column, value):
