--- a/bench/placement_model.py
+++ b/bench/placement_model.py
@@ -2,10 +2,10 @@
 
 Each host has a sender and a target. Senders choose with the real balancer
 among the candidates that they draw, and learn of a target only from the reports
-in its answers and refusals. The queues are the real ``TargetQueue``. As a node does, a
-sender makes a few offers for an immediate start and then one for queueing. A
-message takes the network's time between hosts; nothing is lost, and refused
-clients do not return.
+in its answers and refusals. The queues are the real ``TargetQueue``. As a node
+does, a sender makes a few offers for an immediate start and then one for
+queueing. A message takes the network's time between hosts; nothing is lost, and
+refused clients do not return.
 """
 
 import heapq
--- a/marjoramlead/events.py
+++ b/marjoramlead/events.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 __all__ = ('EventCounts', 'configure_event_log', 'emit')
 
@@ -57,10 +57,16 @@
 
 
 def configure_event_log(host: str, descriptor: int = 1) -> None:
-    """Send events to a file descriptor, by default standard output."""
+    """Send events to a file descriptor, by default standard output.
+
+    Records carry no names of threads and processes: the node has one of each.
+    """
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
     handler = _DescriptorHandler(descriptor)
     handler.setFormatter(
-        JsonFormatter(
+        MsgspecFormatter(
             ['message'],
             rename_fields={'message': 'kind'},
             static_fields={'host': host},
