--- a/marjoramlead/feeds.py
+++ b/marjoramlead/feeds.py
@@ -47,6 +47,8 @@
 
 FEED_PATH: Final = b'/-/marjoram/feed'
 MS_PER_SECOND: Final = 1000
+# A version that has this share of a text in common serves as its base.
+SUFFICIENT_COMMON_SHARE: Final = 0.9
 # Reported instead of the infinite age of data that was never confirmed.
 MAX_AGE_S: Final = 1000.0
 FEED_DECODER: Final = msgspec.msgpack.Decoder(FeedDocument)
@@ -246,15 +248,19 @@
     """Return the version that has most in common with a record.
 
     It is not always the latest one: a column that is added and removed again
-    changes every row of a table twice.
+    changes every row of a table twice. Versions before one that has nearly all
+    in common are not compared, as each comparison takes a millisecond.
     """
     body = record.body or b''
-    versions = find_versions(log, record.key, bases - {record.revision})
-    return max(
-        versions,
-        key=lambda version: common_bytes(version.body or b'', body),
-        default=None,
-    )
+    best: Record | None = None
+    most_common = -1
+    for version in find_versions(log, record.key, bases - {record.revision}):
+        common = common_bytes(version.body or b'', body)
+        if common > most_common:
+            best, most_common = version, common
+        if most_common >= SUFFICIENT_COMMON_SHARE * len(body):
+            break
+    return best
 
 
 def _decode_body(
