--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -1,8 +1,8 @@
 """A stand-in for a target on the platform: slots, a cold start and faults."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import cast
+from typing import Final, cast
 
 from twisted.internet.defer import Deferred, DeferredList
 from twisted.internet.interfaces import IReactorTime
@@ -13,7 +13,7 @@
 from marjoramlead.http_server import StreamRequest
 from marjoramlead.problems import BufferedResponse
 
-__all__ = ('Arrival', 'TargetStandIn', 'handle_target')
+__all__ = ('CUT_RESPONSES', 'Arrival', 'TargetStandIn', 'handle_target')
 
 MS_PER_SECOND = 1000
 WORK_S = 0.1
@@ -47,6 +47,15 @@
     uri: bytes = b''
 
 
+# Where a response is cut: the number of bytes that are sent, by the lengths of
+# its head and its body.
+CUT_RESPONSES: Final[Mapping[str, Callable[[int, int], int]]] = {  # noqa: WPS407  # never modified
+    'cut_in_head': lambda head, body: head // 2,
+    'cut_after_head': lambda head, body: head,
+    'cut_in_body': lambda head, body: head + body // 2,
+    'cut_before_last_byte': lambda head, body: head + body - 1,
+}
+
 Calls = Sequence[Deferred[bool]]
 
 
@@ -64,7 +73,8 @@
         Fault of the responses to requests that have run, or an empty string:
         ``reset`` closes the connection, ``silent`` sends no response,
         ``extra`` sends a second response, ``unsealed`` omits the header that
-        proves the origin of a response, and ``error`` responds with 500.
+        proves the origin of a response, ``error`` responds with 500, and the
+        faults in ``CUT_RESPONSES`` end the connection within the response.
     most_running
         Highest number of requests that ran concurrently.
     work_s
@@ -188,12 +198,36 @@
     status = 200 if succeeded and target.fault != 'error' else 500
     transport = req.channel.transport
     body = target.body or request_id.encode()
+    sent_length = CUT_RESPONSES.get(target.fault)
+    if sent_length is not None:
+        _send_cut(req, headers, body, sent_length)
+        return
     req.send_response(BufferedResponse(status, headers, body))
     if target.fault == 'extra':
         raw = EXTRA_RESPONSE % request_id.encode()
         target.reactor.callLater(EXTRA_RESPONSE_DELAY_S, transport.write, raw)
 
 
+def _send_cut(
+    req: StreamRequest,
+    headers: Headers,
+    body: bytes,
+    sent_length: Callable[[int, int], int],
+) -> None:
+    """Send the beginning of a response and close the connection."""
+    headers.setRawHeaders(b'Content-Length', [b'%d' % len(body)])
+    fields = b''.join(
+        b'%b: %b\r\n' % (name, text)
+        for name, values in headers.getAllRawHeaders()
+        for text in values
+    )
+    head = b'HTTP/1.1 200 OK\r\n%b\r\n' % fields
+    raw = head + body
+    transport = req.channel.transport
+    transport.write(raw[: sent_length(len(head), len(body))])
+    transport.loseConnection()
+
+
 def _refuse(
     target: TargetStandIn,
     req: StreamRequest,
