--- a/marjoramlead/platform/__main__.py
+++ b/marjoramlead/platform/__main__.py
@@ -1,5 +1,6 @@
 """Run the node of this host: ``python -m marjoramlead.platform``."""
 
+import gc
 import os
 import sys
 from collections.abc import Callable
@@ -20,6 +21,7 @@
 
 def main() -> int:
     """Run the node until it is stopped; returns the exit status."""
+    gc.disable()  # what is imported stays
     reactor = install_reactor()
     from marjoramlead.lifecycle import install_signal_handlers, start_sidecar
     from marjoramlead.platform.decoding import (  # after install_reactor()
@@ -51,6 +53,8 @@
     sidecar = build_sidecar(config, reactor, adapter, Random())
     reactor.callWhenRunning(install_signal_handlers, sidecar)
     reactor.callWhenRunning(start_sidecar, sidecar)
+    gc.freeze()
+    gc.enable()
     reactor.run(installSignalHandlers=False)
     return 0
 
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -47,9 +47,10 @@
     uri: bytes = b''
 
 
-# Where a response is cut: the number of bytes that are sent, by the lengths of
-# its head and its body.
-CUT_RESPONSES: Final[Mapping[str, Callable[[int, int], int]]] = {  # noqa: WPS407  # never modified
+# Returns how much of a response is sent, by the lengths of head and body.
+SentLength = Callable[[int, int], int]
+# Where a response is cut, by the name of the fault.
+CUT_RESPONSES: Final[Mapping[str, SentLength]] = {  # noqa: WPS407  # never modified
     'cut_in_head': lambda head, body: head // 2,
     'cut_after_head': lambda head, body: head,
     'cut_in_body': lambda head, body: head + body // 2,
@@ -212,7 +213,7 @@
     req: StreamRequest,
     headers: Headers,
     body: bytes,
-    sent_length: Callable[[int, int], int],
+    sent_length: SentLength,
 ) -> None:
     """Send the beginning of a response and close the connection."""
     headers.setRawHeaders(b'Content-Length', [b'%d' % len(body)])
