--- a/tests/test_refused_routing.py
+++ b/tests/test_refused_routing.py
@@ -11,7 +11,6 @@
 from marjoramlead.platform.routing import RouteCache
 from marjoramlead.record_log import Record
 from marjoramlead.rendering import sidecar_lines
-from marjoramlead.revisions import NO_REVISION
 from marjoramlead.routes import RoutingTable, find_route
 from marjoramlead.sidecar_status import sidecar_status
 from standins.platform_store import put
@@ -171,23 +170,22 @@
 
 
 def fail_once(store, fault):
-    """Let the next listing of a store client raise an exception."""
-    list_all = store.list_all
+    """Let the next watch of a store client raise an exception."""
+    watch = store.watch
 
-    async def fail():
-        store.list_all = list_all
+    async def fail(*_arguments):
+        store.watch = watch
         raise fault
 
-    store.list_all = fail
+    store.watch = fail
 
 
 def test_node_reads_the_store_again_after_an_exception():
     mesh = ready_mesh('web')
-    host = mesh.hosts[0]
-    store_watcher = host.sidecar.store_watcher
-    fail_once(store_watcher.store, KeyError('items'))
-    store_watcher.after = NO_REVISION
+    store = mesh.hosts[0].sidecar.store_watcher.store
+    fail_once(store, KeyError('events'))
     mesh.advance(IN_FORCE_S)
+    assert store.watch.__name__ == 'watch'
     mesh.configure(2)
     mesh.advance(IN_FORCE_S)
     assert versions(mesh) == {2}
