--- a/review/1/case.py
+++ b/review/1/case.py
@@ -31,11 +31,12 @@
 KILLED: Final = 'host-9'
 REQUESTS: Final = 24
 DEADLINE_MS: Final = 4402
-WORK_S: Final = 0.3
+WORK_S: Final = 0.6
 # Time from the requests to the kill, and from the kill to the next start.
-KILL_DELAY_S: Final = 0.1
-RESTART_DELAY_S: Final = 0.5
-FREEZE_S: Final = 2.6
+KILL_DELAY_S: Final = 0.2
+RESTART_DELAY_S: Final = 0.3
+MAX_START_S: Final = 15.0
+FREEZE_S: Final = 2.5
 PROMISES: Final = frozenset((408, 421, 429, 503))
 
 
@@ -78,7 +79,8 @@
     await node.kill()
     record.add(f'{KILLED} is killed')
     await asyncio.sleep(RESTART_DELAY_S)
-    await node.start()
+    await node.launch()
+    await asyncio.wait_for(node.wait_until_open(), MAX_START_S)
     record.add(f'{KILLED} runs again, and is frozen')
     node.send_signal(signal.SIGSTOP)
     await asyncio.sleep(FREEZE_S)
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -46,11 +46,14 @@
     ----------
     status
         0 if the connection ended without a whole answer.
+    took_s
+        Time from the sending to the answer, or until the client gave up.
     """
 
     request_id: str
     status: int
     headers: Mapping[str, str]
+    took_s: float
 
 
 async def send_request(
@@ -59,14 +62,17 @@
     """Send a request on a new connection, and wait for its answer."""
     record.add(f'send {request.method} {request.path} {request.request_id}')
     message = None
+    clock = asyncio.get_running_loop().time
+    sent_at = clock()
     try:
         message = await _exchange(address, request)
     except (OSError, TimeoutError) as exc:
         record.add(f'no answer to {request.request_id}: {exc!r}')
-    answer = Answer(request.request_id, 0, {})
+    took_s = clock() - sent_at
+    answer = Answer(request.request_id, 0, {}, took_s)
     if message is not None:
         status = int(message.first_line.split(' ')[1])
-        answer = Answer(request.request_id, status, message.headers)
+        answer = answer._replace(status=status, headers=message.headers)
     record.add(f'answer to {request.request_id}: {answer.status}')
     return answer
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -3,10 +3,12 @@
 import asyncio
 import tempfile
 from collections.abc import Awaitable, Callable, Sequence
+from contextlib import closing, suppress
 from pathlib import Path
 from typing import Any, Final
 
 from review.standins.fleet import (
+    NETWORK,
     STORE_ADDRESS,
     Host,
     Node,
@@ -69,7 +71,9 @@
 def make_hosts(services: Sequence[str]) -> list[Host]:
     """Return a host for each service named, in two data centres."""
     return [
-        Host(f'host-{index}', f'127.31.1.{index}', f'zone-{index % 2}', service)
+        Host(
+            f'host-{index}', f'{NETWORK}.{index}', f'zone-{index % 2}', service
+        )
         for index, service in enumerate(services, start=1)
     ]
 
@@ -142,10 +146,8 @@
         async def serve_and_close(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            try:
+            with suppress(OSError), closing(writer):
                 await serve(reader, writer)
-            finally:
-                writer.close()
 
         server = await asyncio.start_server(serve_and_close, address, port)
         self._servers.append(server)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -13,13 +13,25 @@
 
 from review.standins.http_messages import encode_message, read_message
 
-__all__ = ('STORE_ADDRESS', 'Host', 'Node', 'PortMap', 'choose_ports')
+__all__ = (
+    'NETWORK',
+    'STORE_ADDRESS',
+    'Host',
+    'Node',
+    'PortMap',
+    'choose_ports',
+)
 
 ROOT: Final = Path(__file__).resolve().parent.parent.parent
 DEPLOY_FILE: Final = ROOT / 'deploy' / 'system.toml'
-STORE_ADDRESS: Final = '127.31.0.1'
+# Loopback addresses of this process, so that several plays do not meet: the
+# metrics of a node have a fixed port.
+_OCTETS: Final = divmod(os.getpid(), 200)
+NETWORK: Final = f'127.{20 + _OCTETS[1]}.{_OCTETS[0] % 250}'
+STORE_ADDRESS: Final = f'{NETWORK}.100'
 START_TIMEOUT_S: Final = 15.0
 POLL_INTERVAL_S: Final = 0.05
+OPEN_POLL_INTERVAL_S: Final = 0.002
 # Bounds of the users' deployment of fourteen machines.
 BOUNDS: Final[Mapping[str, object]] = {  # noqa: WPS407  # never modified
     'SeedLag': '3s',
@@ -90,7 +102,12 @@
         self._log_path = folder / f'{host.name}.log'
 
     async def start(self) -> None:
-        """Start the process with rendered settings; wait until it is ready."""
+        """Start the process, and wait until it is ready."""
+        await self.launch()
+        await asyncio.wait_for(self._wait_until_ready(), START_TIMEOUT_S)
+
+    async def launch(self) -> None:
+        """Start the process with rendered settings."""
         role = tomllib.loads(DEPLOY_FILE.read_text())['roles']['node']
         template = (ROOT / role['template']).read_text()
         fields = _settings_fields(self.host, self._ports, self._seeds)
@@ -103,7 +120,11 @@
                 stdout=log,
                 stderr=log,
             )
-        await asyncio.wait_for(self._wait_until_ready(), START_TIMEOUT_S)
+
+    async def wait_until_open(self) -> None:
+        """Wait until the port for other nodes accepts connections."""
+        while not await self._is_open():
+            await asyncio.sleep(OPEN_POLL_INTERVAL_S)
 
     async def kill(self) -> None:
         """Kill the process, unless it has ended."""
@@ -113,25 +134,35 @@
             self.process.kill()
         await self.process.wait()
 
+    async def is_ready(self) -> bool:
+        """Return whether the process says that it is ready."""
+        address = self.host.address, self._ports.ready
+        try:
+            reader, writer = await asyncio.open_connection(*address)
+        except OSError:
+            return False
+        writer.write(encode_message('GET /-/ready HTTP/1.1', {'Host': 'node'}))
+        message = await read_message(reader)
+        writer.close()
+        return message is not None and ' 200 ' in message.first_line
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         if self.process is not None:
             self.process.send_signal(number)
 
     async def _wait_until_ready(self) -> None:
-        while not await self._is_ready():
+        while not await self.is_ready():
             await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def _is_ready(self) -> bool:
-        address = self.host.address, self._ports.ready
+    async def _is_open(self) -> bool:
+        address = self.host.address, self._ports.inbound
         try:
-            reader, writer = await asyncio.open_connection(*address)
+            _reader, writer = await asyncio.open_connection(*address)
         except OSError:
             return False
-        writer.write(encode_message('GET /-/ready HTTP/1.1', {'Host': 'node'}))
-        message = await read_message(reader)
         writer.close()
-        return message is not None and ' 200 ' in message.first_line
+        return True
 
 
 def _render(template: str, fields: Mapping[str, Any]) -> str:
--- a/review/standins/instance.py
+++ b/review/standins/instance.py
@@ -11,7 +11,7 @@
 )
 from review.standins.record import Record
 
-__all__ = ('HEALTH_PATH', 'Arrival', 'Connection', 'Instance')
+__all__ = ('HEALTH_PATH', 'SEAL', 'Arrival', 'Connection', 'Instance')
 
 HEALTH_PATH: Final = '/health'
 MS_PER_SECOND: Final = 1000
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -33,13 +33,14 @@
         self._history: list[JsonObject] = []
         self._changed = asyncio.Event()
 
-    def put(self, key: str, document: object) -> None:
-        """Write an item."""
+    def put(self, key: str, document: JsonObject | bytes) -> None:
+        """Write an item: a JSON document, or other bytes."""
         self.revision += 1
-        encoded = json.dumps(document).encode()
+        is_raw = isinstance(document, bytes)
+        raw = document if is_raw else json.dumps(document).encode()
         item: JsonObject = {
             'Key': key,
-            'Value': b64encode(encoded).decode(),
+            'Value': b64encode(raw).decode(),
             'Revision': self.revision,
             'CreatedRev': self.revision,
             'Lease': 0,
