A node denies an attempt only by a mark of its own run

Cause: a fate query said how long ago its attempt had been sent. The node subtracted that from the time at which it read the query, allowed one second for the travel and compared the result with its own start. Queries that waited in the buffers of the frozen node were older, so the node denied attempts that its predecessor had run; that answer was stored for all later queries.

In tests/test_fate_after_restart.py a node reads nothing for 0, 0.7 or 2.5 s after its restart; before this change the requests of the last one ran twice ("assert [2, 2] == [1, 1]").

Change: acknowledgements bear a mark of the ledger (run of the process, number of attempts registered). A query names the mark that its sender had when it sent the attempt, or the one that acknowledged it. Only a node of that run, which has forgotten no attempt since, denies an attempt. If the process that answers was there before the attempt was sent, no other one can have received it; no clock is compared, and no travel is bounded. The answer is formed for each query.

--- a/marjoramlead/hop_client.py
+++ b/marjoramlead/hop_client.py
@@ -28,10 +28,11 @@
     encode_fate_query,
     encode_job,
     load_from_report,
+    mark_from_headers,
     refusal_from_report,
     revision_from_report,
 )
-from marjoramlead.ledger import Outcome
+from marjoramlead.ledger import LedgerMark, Outcome
 from marjoramlead.mesh_state import TargetEntry
 from marjoramlead.metrics import Metrics, traffic_counter
 from marjoramlead.placement import (
@@ -44,6 +45,7 @@
     Connect,
     ConnectionFailure,
     ConnectionPool,
+    HeaderList,
     OutgoingRequest,
     Reply,
     close_idle,
@@ -65,7 +67,6 @@
 # notified over a new one. TCP retransmits a lost packet only after 200 ms.
 WITHDRAW_DELAY_S: Final = 0.15
 # Longest time for which one query waits, as its connection may go silent, too.
-# It is shorter than ``peer_requests.MAX_QUERY_TRAVEL_S``.
 QUERY_TIMEOUT_S: Final = 0.55
 # The same for a withdrawal, which is answered at once.
 WITHDRAWAL_TIMEOUT_S: Final = 0.25
@@ -99,12 +100,16 @@
         Fires if the node does not acknowledge the job in time.
     ack_timer
         Timer of ``ack_timed_out``; None before the job is sent.
+    mark
+        Last mark of the node's ledger that was received before the job was
+        sent, or the one that acknowledged the job.
     is_ended
         Whether the node is known to have ended the job: it has reported the
         outcome, or has closed the connection that was cancelled here.
     """
 
     offered_at: float
+    mark: LedgerMark | None
     connected_at: float | None = None
     acknowledged_at: float | None = None
     ack_timed_out: Deferred[None] = field(default_factory=Deferred)
@@ -128,6 +133,8 @@
         Returns the rate of this host's link.
     pools
         Connection pools by host.
+    marks
+        Last mark that was received of each host's ledger.
     """
 
     balancer: BalancerState
@@ -138,6 +145,7 @@
     link_bytes_per_s: Callable[[], float]
     connect: Connect = connect_tcp
     pools: dict[str, ConnectionPool] = field(default_factory=dict)
+    marks: dict[str, LedgerMark] = field(default_factory=dict)
 
 
 async def offer_remotely(
@@ -151,7 +159,7 @@
     while the connection is kept; the first answer counts.
     """
     host = target.address[0]
-    progress = _HopProgress(client.reactor.seconds())
+    progress = _HopProgress(client.reactor.seconds(), client.marks.get(host))
     sending = Deferred.fromCoroutine(_send_job(client, job, host, progress))
     querying = Deferred.fromCoroutine(
         _query_when_silent(client, job, host, progress)
@@ -214,7 +222,7 @@
         )
         return Refusal(Reason.CONNECT_FAILED, Verdict.NOT_RUN, 0)
     _log_lost_hop(client, job, progress, result.reason)
-    return await _resolve_fate(client, job, host, progress.offered_at)
+    return await _resolve_fate(client, job, host, progress)
 
 
 async def _exchange(
@@ -241,8 +249,9 @@
             ACKNOWLEDGE_TIMEOUT_S, progress.ack_timed_out.callback, None
         )
 
-    def on_acknowledged() -> None:
+    def on_acknowledged(headers: HeaderList) -> None:
         _cancel_timer(progress.ack_timer)
+        progress.mark = _note_mark(client, host, headers) or progress.mark
         if progress.acknowledged_at is None:
             progress.acknowledged_at = client.reactor.seconds()
             client.metrics.hop_acknowledgement.observe(
@@ -275,7 +284,7 @@
     """Query the outcome of a job that its node does not acknowledge."""
     await progress.ack_timed_out
     _log_lost_hop(client, job, progress, Reason.SILENT)
-    outcome = await _resolve_fate(client, job, host, progress.offered_at)
+    outcome = await _resolve_fate(client, job, host, progress)
     progress.is_ended = outcome is not UNKNOWN_OUTCOME
     return outcome
 
@@ -286,7 +295,7 @@
     """Withdraw a cancelled job unless its node is known to have ended it."""
     if not progress.is_ended:
         withdrawing = Deferred.fromCoroutine(
-            _withdraw(client, job, host, progress.offered_at)
+            _withdraw(client, job, host, progress)
         )
         withdrawing.addErrback(
             lambda failure: emit('bug', error=failure.getTraceback())
@@ -294,12 +303,14 @@
 
 
 async def _withdraw(
-    client: HopClient, job: Job, host: str, sent_at: float
+    client: HopClient, job: Job, host: str, progress: _HopProgress
 ) -> None:
     """Tell the target's node over a new connection to drop a job."""
     while client.reactor.seconds() < job.deadline:
         next_at = client.reactor.seconds() + FATE_QUERY_INTERVAL_S
-        known = await _query_fate(client, job, host, sent_at, is_withdrawn=True)
+        known = await _query_fate(
+            client, job, host, progress, is_withdrawn=True
+        )
         emit(
             'withdrawn',
             request_id=job.request_id,
@@ -357,7 +368,7 @@
     client: HopClient,
     job: Job,
     host: str,
-    sent_at: float,
+    progress: _HopProgress,
 ) -> Outcome:
     """Query the outcome of a request until the target's node responds.
 
@@ -367,7 +378,7 @@
     is_first = True
     while client.reactor.seconds() < job.deadline:
         next_at = client.reactor.seconds() + FATE_QUERY_INTERVAL_S
-        known = await _query_fate(client, job, host, sent_at)
+        known = await _query_fate(client, job, host, progress)
         if known is UNKNOWN_OUTCOME:
             continue
         if known is not None:
@@ -387,7 +398,7 @@
     client: HopClient,
     job: Job,
     host: str,
-    sent_at: float,
+    progress: _HopProgress,
     *,
     is_withdrawn: bool = False,
 ) -> Outcome | None:
@@ -397,19 +408,18 @@
     has only acknowledged the query. A withdrawn job does not start any more.
     """
     now = client.reactor.seconds()
-    query = encode_fate_query(job, now - sent_at, is_withdrawn=is_withdrawn)
-    outgoing = OutgoingRequest(b'POST', FATE_PATH, [(b'Host', b'node')], query)
-    pool = ConnectionPool(
-        client.reactor,
-        (host, client.port),
-        0,
-        client.connect,
-        traffic_counter(client.metrics, 'fate'),
+    query = encode_fate_query(
+        job,
+        now - progress.offered_at,
+        progress.mark,
+        is_withdrawn=is_withdrawn,
     )
-    progress = _HopProgress(now)
+    outgoing = OutgoingRequest(b'POST', FATE_PATH, [(b'Host', b'node')], query)
+    pool = _new_pool(client, host, 0, 'fate')
+    answering: list[LedgerMark | None] = []
 
-    def on_acknowledged() -> None:
-        progress.acknowledged_at = client.reactor.seconds()
+    def on_acknowledged(headers: HeaderList) -> None:
+        answering.append(_note_mark(client, host, headers))
 
     wait = TimedWait(
         client.reactor,
@@ -419,11 +429,35 @@
     wait.add_deadline(min(now + timeout_s, job.deadline + RESPONSE_GRACE_S))
     send_result = await wait.result()
     close_idle(pool)
-    if send_result is None and progress.acknowledged_at is not None:
+    if send_result is None and answering:
         return UNKNOWN_OUTCOME
     if send_result is None or send_result.is_error():
         return None
-    return _process_reply(client, job, send_result.ok)
+    outcome = _process_reply(client, job, send_result.ok)
+    if isinstance(outcome, Refusal) and not any(answering):
+        return _weaken_never_seen(outcome)
+    return outcome
+
+
+def _weaken_never_seen(refusal: Refusal) -> Refusal:
+    """Return the refusal of a node of an earlier version, without marks.
+
+    Such a node concludes from the age in the query that it would know of the
+    attempt, which is wrong if the query was read late.
+    """
+    if refusal.reason is not Reason.NEVER_SEEN:
+        return refusal
+    return refusal._replace(verdict=Verdict.MAY_HAVE_RUN)
+
+
+def _note_mark(
+    client: HopClient, host: str, headers: HeaderList
+) -> LedgerMark | None:
+    """Note the mark in an acknowledgement for the jobs that are sent later."""
+    mark = mark_from_headers(headers)
+    if mark is not None:
+        client.marks[host] = mark
+    return mark
 
 
 def _elapsed_ms(progress: _HopProgress, reached_at: float | None) -> int | None:
@@ -447,13 +481,18 @@
 def _pool_for(client: HopClient, host: str) -> ConnectionPool:
     pool = client.pools.get(host)
     if pool is None:
-        address = (host, client.port)
-        pool = ConnectionPool(
-            client.reactor,
-            address,
-            IDLE_TIMEOUT_S,
-            client.connect,
-            traffic_counter(client.metrics, 'hop'),
-        )
+        pool = _new_pool(client, host, IDLE_TIMEOUT_S, 'hop')
         client.pools[host] = pool
     return pool
+
+
+def _new_pool(
+    client: HopClient, host: str, idle_timeout_s: float, purpose: str
+) -> ConnectionPool:
+    return ConnectionPool(
+        client.reactor,
+        (host, client.port),
+        idle_timeout_s,
+        client.connect,
+        traffic_counter(client.metrics, purpose),
+    )
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -17,15 +17,17 @@
     HopReport,
     JobTerms,
 )
+from marjoramlead.ledger import LedgerMark
 from marjoramlead.revisions import NO_REVISION, Revision
 from marjoramlead.routes import RetryPolicy
 from marjoramlead.target_queue import LoadReport
-from marjoramlead.upstream import HeaderList
+from marjoramlead.upstream import HeaderList, header_value
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
 __all__ = (
     'FATE_PATH',
     'JOB_HEADER',
+    'LEDGER_HEADER',
     'REPORT_HEADER',
     'Job',
     'attempt_id',
@@ -34,14 +36,19 @@
     'decode_report',
     'encode_fate_query',
     'encode_job',
+    'encode_mark',
     'encode_report',
     'load_from_report',
+    'mark_from_headers',
+    'mark_from_query',
     'refusal_from_report',
     'revision_from_report',
 )
 
 JOB_HEADER: Final = b'x-marjoram-job'
 REPORT_HEADER: Final = b'x-marjoram-report'
+# Part of the interim response that acknowledges a job or a query.
+LEDGER_HEADER: Final = b'x-marjoram-ledger'
 FATE_PATH: Final = b'/-/marjoram/fate'
 MS_PER_SECOND: Final = 1000
 
@@ -216,8 +223,23 @@
     return LoadReport(report['room'], report['wait_s'], report['work_s'])
 
 
+def encode_mark(mark: LedgerMark) -> bytes:
+    """Encode the mark of a ledger as the value of a header."""
+    return f'{mark.run} {mark.number}'.encode()
+
+
+def mark_from_headers(headers: HeaderList) -> LedgerMark | None:
+    """Return the mark in an acknowledgement; None if it has none."""
+    run, _space, number = header_value(headers, LEDGER_HEADER).partition(' ')
+    return LedgerMark(run, int(number)) if number.isdecimal() else None
+
+
 def encode_fate_query(
-    job: Job, sent_ago_s: float, *, is_withdrawn: bool = False
+    job: Job,
+    sent_ago_s: float,
+    mark: LedgerMark | None,
+    *,
+    is_withdrawn: bool = False,
 ) -> bytes:
     """Encode a query for the outcome of an attempt, or its withdrawal."""
     query: FateQuestion = {
@@ -225,6 +247,9 @@
         'attempt': job.attempt,
         'sent_ago_s': sent_ago_s,
     }
+    if mark is not None:
+        query['run'] = mark.run
+        query['number'] = mark.number
     if is_withdrawn:
         query['is_withdrawn'] = True
     return msgspec.json.encode(query)
@@ -236,3 +261,11 @@
         return Ok(FATE_QUERY_DECODER.decode(raw))
     except msgspec.MsgspecError as exc:
         return Error(Fault('question', str(exc)))
+
+
+def mark_from_query(query: FateQuestion) -> LedgerMark | None:
+    """Return the mark that a query names; None if it names none."""
+    run, number = query.get('run'), query.get('number')
+    if run is None or number is None:
+        return None
+    return LedgerMark(run, number)
--- a/marjoramlead/http_connection.py
+++ b/marjoramlead/http_connection.py
@@ -99,7 +99,8 @@
 
 SendResult = Result[Reply, ConnectionFailure]
 ReplyMatcher = Callable[[Reply], bool]
-OnAcknowledged = Callable[[], None]
+# Called with the headers of an interim response.
+OnAcknowledged = Callable[[HeaderList], None]
 OnClosed = Callable[[], None]
 # Called with the numbers of bytes sent and received.
 OnTraffic = Callable[[int, int], None]
@@ -306,7 +307,7 @@
     def _on_informational(
         self, exchange: _Exchange, event: h11.InformationalResponse
     ) -> None:
-        exchange.on_acknowledged()
+        exchange.on_acknowledged(event.headers.raw_items())
         is_waiting = self._parser.our_state is h11.SEND_BODY
         if event.status_code != HTTPStatus.CONTINUE or not is_waiting:
             return
--- a/marjoramlead/ledger.py
+++ b/marjoramlead/ledger.py
@@ -4,11 +4,17 @@
 connection. If the attempt has never arrived here, it is barred: a copy that
 arrives later is refused. The sender may then safely offer the request to
 another target, or answer its client that the request did not run.
+
+That an attempt never arrived is only certain if this process would know of it.
+A sender therefore names the last mark of the ledger that it had received when
+it sent the attempt. Clocks do not enter into it: a query may wait for any time
+in the buffers of a node that does not run.
 """
 
+import os
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Final, NamedTuple
 
 from twisted.internet.defer import Deferred
 
@@ -17,7 +23,11 @@
 
 __all__ = (
     'AttemptLedger',
+    'LedgerMark',
     'Outcome',
+    'bar_attempt',
+    'ledger_mark',
+    'new_ledger',
     'query_outcome',
     'record_outcome',
     'register_attempt',
@@ -33,13 +43,31 @@
 # A sender that has lost its connection queries the outcome within its connect
 # timeout.
 ANSWER_RETENTION_S: Final = 3.0
+MICROSECONDS_PER_SECOND: Final = 1_000_000
+RUN_ID_BYTES: Final = 4
 
 NEVER_SEEN: Final = Refusal(Reason.NEVER_SEEN, Verdict.NOT_RUN)
 UNKNOWN_OUTCOME: Final = Refusal(Reason.TARGET_FAILED, Verdict.MAY_HAVE_RUN)
 
 
+class LedgerMark(NamedTuple):
+    """How far a ledger had come when a node sent this to another one.
+
+    Attributes
+    ----------
+    run
+        Identifies the run of the node's process.
+    number
+        Number of attempts that it had registered.
+    """
+
+    run: str
+    number: int
+
+
 @dataclass(slots=True)
 class _Attempt:
+    number: int
     kept_until: float
     outcome: Outcome | None = None
     waiters: list[Deferred[Outcome]] = field(default_factory=list)
@@ -53,8 +81,9 @@
 
     Attributes
     ----------
-    started_at
-        When this process started; it knows nothing of earlier attempts.
+    run
+        Identifies the run of this process; it knows nothing of attempts that
+        earlier ones have received.
     attempts
         Attempts by id, the oldest first.
     answer_expiries
@@ -62,12 +91,33 @@
         its answer is dropped, the earliest first.
     kept_bytes
         Total size of the kept answers.
+    registered
+        Number of attempts registered so far, which are numbered from 1.
+    forgotten
+        Highest number of an attempt that has expired.
     """
 
-    started_at: float
+    run: str
     attempts: OrderedDict[str, _Attempt] = field(default_factory=OrderedDict)
     answer_expiries: deque[tuple[float, str]] = field(default_factory=deque)
     kept_bytes: int = 0
+    registered: int = 0
+    forgotten: int = 0
+
+
+def new_ledger(now: float) -> AttemptLedger:
+    """Return the ledger of a process that has just started.
+
+    The identifier of the run holds the time, too, because a host that has just
+    started may have little randomness.
+    """
+    microseconds = round(now * MICROSECONDS_PER_SECOND)
+    return AttemptLedger(f'{microseconds:x}.{os.urandom(RUN_ID_BYTES).hex()}')
+
+
+def ledger_mark(ledger: AttemptLedger) -> LedgerMark:
+    """Return how far the ledger has come."""
+    return LedgerMark(ledger.run, ledger.registered)
 
 
 def register_attempt(
@@ -82,7 +132,7 @@
     _drop_expired(ledger, now)
     attempt = ledger.attempts.get(attempt_id)
     if attempt is None:
-        ledger.attempts[attempt_id] = _Attempt(now + DEDUPLICATION_WINDOW_S)
+        _add_attempt(ledger, attempt_id, now)
         return None
     if attempt.outcome is NEVER_SEEN:
         return Refusal(Reason.DUPLICATE, Verdict.NOT_RUN, 0)
@@ -119,20 +169,23 @@
 def query_outcome(
     ledger: AttemptLedger,
     attempt_id: str,
-    sent_at: float,
+    mark: LedgerMark | None,
     now: float,
 ) -> Deferred[Outcome]:
     """Return the outcome of an attempt; bar one that has never arrived.
 
+    An attempt that is not known here may have run if an earlier process may
+    have received it, or if this one may have forgotten it.
+
     Parameters
     ----------
     ledger
         Ledger of this node.
     attempt_id
         Identifies the request and the attempt at it.
-    sent_at
-        When the attempt was first sent, on this node's monotonic clock. For
-        one sent before this process started, the outcome is unknown.
+    mark
+        Last mark of this node that the sender had received when it sent the
+        attempt, or that acknowledged it; None if it had received none.
     now
         Current time on the node's monotonic clock.
 
@@ -140,28 +193,47 @@
     -------
     A Deferred that fires once the outcome is known.
     """
+    bar_attempt(ledger, attempt_id, now)
     pending: Deferred[Outcome] = Deferred()
-    attempt = ledger.attempts.get(attempt_id)
-    if attempt is None:
-        would_have_seen = sent_at > ledger.started_at
-        attempt = _Attempt(
-            now + DEDUPLICATION_WINDOW_S,
-            NEVER_SEEN if would_have_seen else UNKNOWN_OUTCOME,
-        )
-        ledger.attempts[attempt_id] = attempt
+    attempt = ledger.attempts[attempt_id]
     if attempt.outcome is None:
         attempt.waiters.append(pending)
+    elif attempt.outcome is NEVER_SEEN and not _would_know(ledger, mark):
+        pending.callback(UNKNOWN_OUTCOME)
     else:
         pending.callback(attempt.outcome)
     return pending
 
 
+def bar_attempt(ledger: AttemptLedger, attempt_id: str, now: float) -> None:
+    """Refuse an attempt if it arrives later; one that has arrived goes on."""
+    if attempt_id not in ledger.attempts:
+        _add_attempt(ledger, attempt_id, now).outcome = NEVER_SEEN
+
+
+def _would_know(ledger: AttemptLedger, mark: LedgerMark | None) -> bool:
+    """Return whether all attempts sent after a mark are still known."""
+    if mark is None or mark.run != ledger.run:
+        return False
+    return mark.number >= ledger.forgotten
+
+
+def _add_attempt(
+    ledger: AttemptLedger, attempt_id: str, now: float
+) -> _Attempt:
+    ledger.registered += 1
+    attempt = _Attempt(ledger.registered, now + DEDUPLICATION_WINDOW_S)
+    ledger.attempts[attempt_id] = attempt
+    return attempt
+
+
 def _drop_expired(ledger: AttemptLedger, now: float) -> None:
     while ledger.attempts:
         attempt_id, attempt = next(iter(ledger.attempts.items()))
         if attempt.kept_until > now or attempt.outcome is None:
             return
         ledger.attempts.pop(attempt_id)
+        ledger.forgotten = max(ledger.forgotten, attempt.number)
 
 
 def _evict_answers(ledger: AttemptLedger, now: float) -> None:
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -24,17 +24,20 @@
 from marjoramlead.hops import (
     FATE_PATH,
     JOB_HEADER,
+    LEDGER_HEADER,
     MS_PER_SECOND,
     REPORT_HEADER,
     Job,
     attempt_id,
     decode_fate_query,
     decode_job,
+    encode_mark,
     encode_report,
+    mark_from_query,
 )
 from marjoramlead.http_server import StreamRequest, expects_continue
 from marjoramlead.incoming_body import IncomingBody
-from marjoramlead.ledger import Outcome, query_outcome
+from marjoramlead.ledger import Outcome, ledger_mark, query_outcome
 from marjoramlead.mesh_state import note_reported_version
 from marjoramlead.problems import BufferedResponse
 from marjoramlead.replies import response_from_reply
@@ -51,12 +54,7 @@
 
 __all__ = ('handle_peer_request',)
 
-# Longest time that a fate query may travel; its sender gives it up then. By so
-# much an attempt may be older than the query says.
-MAX_QUERY_TRAVEL_S: Final = 1.0
-# Sent once the headers of a job or a query are read, so that the sender knows
-# that it has arrived.
-ACKNOWLEDGEMENT: Final = b'HTTP/1.1 102 Processing\r\n\r\n'
+ACKNOWLEDGEMENT: Final = b'HTTP/1.1 102 Processing\r\n%b: %b\r\n\r\n'
 
 
 def handle_peer_request(
@@ -68,7 +66,7 @@
     if raw:
         _handle_job(gate, req, raw[0])
     elif path == FATE_PATH:
-        req.channel.transport.write(ACKNOWLEDGEMENT)
+        _acknowledge(gate, req)
         _respond_when_done(gate, req, '', _answer_fate_query(gate, req))
     elif path == FEED_PATH:
         answer_feed_read(feed_server, req)
@@ -86,13 +84,22 @@
             BufferedResponse(HTTPStatus.BAD_REQUEST, Headers(), b'')
         )
         return
-    req.channel.transport.write(ACKNOWLEDGEMENT)
+    _acknowledge(gate, req)
     terms = decoded.ok
     note_reported_version(gate.mesh_state, terms.get('version'))
     serving = _serve_job(gate, req, terms)
     _respond_when_done(gate, req, terms['route'], serving)
 
 
+def _acknowledge(gate: TargetGate, req: StreamRequest) -> None:
+    """Tell the sender that the headers of a job or a query are read.
+
+    Jobs that it sends from now on are registered after the mark.
+    """
+    mark = encode_mark(ledger_mark(gate.ledger))
+    req.channel.transport.write(ACKNOWLEDGEMENT % (LEDGER_HEADER, mark))
+
+
 def _respond_when_done(
     gate: TargetGate,
     req: StreamRequest,
@@ -190,15 +197,17 @@
         return Refusal(Reason.BAD_ANSWER, Verdict.MAY_HAVE_RUN, 0)
     now = gate.reactor.seconds()
     fate_query = decoded_query.ok
-    sent_at = now - fate_query['sent_ago_s'] - MAX_QUERY_TRAVEL_S
+    mark = mark_from_query(fate_query)
     attempt = attempt_id(fate_query['request_id'], fate_query['attempt'])
     if fate_query.get('is_withdrawn', False):
-        return withdraw_attempt(gate, attempt, sent_at)
-    outcome = await query_outcome(gate.ledger, attempt, sent_at, now)
+        return withdraw_attempt(gate, attempt)
+    outcome = await query_outcome(gate.ledger, attempt, mark, now)
     emit(
         'fate',
         request_id=fate_query['request_id'],
         sent_ago_s=fate_query['sent_ago_s'],
+        run=gate.ledger.run,
+        sender_run=mark.run if mark else None,
         fate='ran' if isinstance(outcome, Reply) else outcome.verdict,
     )
     return outcome
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -18,7 +18,7 @@
 from marjoramlead.feed_tree import FeedAddresses, choose_addresses
 from marjoramlead.header_names import HeaderNames
 from marjoramlead.hop_client import HopClient
-from marjoramlead.ledger import AttemptLedger
+from marjoramlead.ledger import new_ledger
 from marjoramlead.listeners import Listener
 from marjoramlead.mesh_retry_budget import MeshRetryBudget
 from marjoramlead.mesh_state import MeshState, RecordDecoder
@@ -131,7 +131,7 @@
         adapter.header_names,
         reactor,
         ConnectionPool(reactor, config.target, TARGET_IDLE_TIMEOUT_S, connect),
-        AttemptLedger(reactor.seconds()),
+        new_ledger(reactor.seconds()),
         metrics,
         BodyGrants(config.link_bytes_per_s),
     )
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -11,7 +11,7 @@
 from marjoramlead.job_routes import with_current_version
 from marjoramlead.ledger import (
     Outcome,
-    query_outcome,
+    bar_attempt,
     record_outcome,
     register_attempt,
 )
@@ -153,7 +153,7 @@
         task.cancel()
 
 
-def withdraw_attempt(gate: TargetGate, attempt: str, sent_at: float) -> Refusal:
+def withdraw_attempt(gate: TargetGate, attempt: str) -> Refusal:
     """Drop an attempt whose caller has left; bar one that has not arrived.
 
     Returns
@@ -162,7 +162,7 @@
     """
     job = gate.jobs.get(attempt)
     if job is None:
-        query_outcome(gate.ledger, attempt, sent_at, gate.reactor.seconds())
+        bar_attempt(gate.ledger, attempt, gate.reactor.seconds())
     else:
         abandon_job(gate, job)
     return Refusal(Reason.CALLER_GONE, Verdict.MAY_HAVE_RUN, 0)
--- a/marjoramlead/upstream.py
+++ b/marjoramlead/upstream.py
@@ -124,11 +124,15 @@
     """Do nothing: not every sender follows the progress of a request."""
 
 
+def _ignore_acknowledgement(_headers: HeaderList) -> None:
+    """Do nothing: only other nodes acknowledge requests."""
+
+
 async def send(
     pool: ConnectionPool,
     outgoing: OutgoingRequest,
     matches: ReplyMatcher = _match_any,
-    on_acknowledged: OnAcknowledged = _ignore_progress,
+    on_acknowledged: OnAcknowledged = _ignore_acknowledgement,
     on_connected: Callable[[], None] = _ignore_progress,
     on_closed: OnClosed | None = None,
 ) -> SendResult:
--- /dev/null
+++ b/tests/test_fate_after_restart.py
@@ -0,0 +1,83 @@
+"""What a restarted node says of the attempts that it has not received."""
+
+import pytest
+
+from tests.platform_mesh import INBOUND, PlatformMesh, route
+
+LONG_ROUTE = route('long', 'unsafe', 'web', timeout='5000ms')
+
+
+def make_mesh():
+    """Return a mesh of two targets and of a sender, with a long route."""
+    mesh = PlatformMesh()
+    mesh.configure(routes=[LONG_ROUTE])
+    for service in ('web', 'web', 'api'):
+        mesh.add_host(service, work_s=0.6)
+    mesh.advance(1)
+    return mesh
+
+
+def restart(mesh, host, down_s=0.3):
+    """Kill the node of a host, and start it again."""
+    host.reactor.stop()
+    mesh.advance(down_s)
+    mesh.start(host)
+
+
+def freeze(mesh, host, seconds):
+    """Let a host's node read nothing for a time, and then all of it."""
+    port = host.address, INBOUND
+    unfrozen_open = mesh.net.open
+
+    def open_unread(to_port, factory):
+        opened = unfrozen_open(to_port, factory)
+        if to_port == port:
+            mesh.net.connections[-1].is_silent = True
+        return opened
+
+    mesh.net.open = open_unread
+    mesh.net.silence(port)
+    mesh.advance(seconds)
+    mesh.net.open = unfrozen_open
+    for connection in mesh.net.connections:
+        connection.is_silent = False
+
+
+def send_running(mesh):
+    """Send requests that run at the targets; return those of the first one."""
+    sent = [
+        mesh.send(mesh.hosts[2], '/long/x', 5000, method=b'POST')
+        for _request in range(4)
+    ]
+    mesh.advance(0.2)
+    first = mesh.hosts[0].target
+    ids = {arrival.request_id for arrival in first.arrivals if arrival.ran}
+    return [each for each in sent if each.request_id in ids]
+
+
+# TWICE: a restarted node read queries late and denied runs that took place.
+@pytest.mark.parametrize('frozen_s', [0, 0.7, 2.5])
+def test_run_before_a_restart_is_not_denied_by_a_query_read_late(frozen_s):
+    mesh = make_mesh()
+    running = send_running(mesh)
+    restart(mesh, mesh.hosts[0])
+    if frozen_s:
+        freeze(mesh, mesh.hosts[0], frozen_s)
+    mesh.advance(4)
+    assert running
+    assert {mesh.runs(each.request_id) for each in running} == {1}
+    assert {each.status for each in running} == {502}
+
+
+def test_attempt_that_a_known_run_never_received_is_offered_elsewhere():
+    mesh = make_mesh()
+    mesh.send(mesh.hosts[2], '/long/x', 5000, method=b'POST')
+    mesh.advance(1)  # the sender has received marks of the targets' nodes
+    port = mesh.hosts[0].address, INBOUND
+    mesh.net.connect_delays[port] = 0.01
+    mesh.net.sites.pop((mesh.hosts[1].address, INBOUND))
+    sent = mesh.send(mesh.hosts[2], '/long/x', 5000, method=b'POST')
+    mesh.net.silence(port)
+    mesh.advance(2)
+    assert sent.status == 200
+    assert mesh.runs(sent.request_id) == 1
