--- a/marjoramlead/body_reader.py
+++ b/marjoramlead/body_reader.py
@@ -2,19 +2,31 @@
 
 from typing import Final
 
-from twisted.internet.defer import CancelledError
+from twisted.internet.defer import Deferred
 
 from marjoramlead.bodies import BodyStream, BufferedBody
+from marjoramlead.memory_budget import Hold, grow
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
-__all__ = ('collect_body',)
+__all__ = ('REQUEST_BYTES', 'body_length', 'collect_body')
+
+# Memory of a request in progress, without its body.
+REQUEST_BYTES: Final = 4_096
 
 UNLIMITED: Final = float('inf')
 
 
+def body_length(body: BodyStream | None) -> int | None:
+    """Return the length of a request's body; None if it is not known."""
+    if body is None:
+        return 0
+    return body.length if isinstance(body.length, int) else None
+
+
 async def collect_body(
     body: BodyStream,
     max_bytes: float = UNLIMITED,
+    hold: Hold | None = None,
 ) -> BufferedBody | Refusal:
     """Read a body to its end.
 
@@ -23,28 +35,45 @@
     body
         A body that has not been read yet.
     max_bytes
-        Maximum length. The rest of a longer body is read and discarded, and
-        the body is refused.
+        Maximum length. A longer body is refused as soon as that is known.
+    hold
+        Memory of the body, which grows with it. Without it, the memory is
+        accounted for elsewhere.
     """
-    buffer = _BoundedBuffer(max_bytes)
-    try:
-        await body.startProducing(buffer)
-    except CancelledError:
-        raise
-    except Exception:  # the body was truncated, whatever the cause
-        return Refusal(Reason.BODY_CUT, Verdict.NOT_RUN, 0)
-    if buffer.remaining_bytes < 0:
-        return Refusal(Reason.BODY_TOO_LARGE, Verdict.NOT_RUN, 0)
+    buffer = _BoundedBuffer(max_bytes, hold)
+    finished = body.startProducing(buffer)
+    finished.addCallbacks(
+        lambda _finished: buffer.end(None),
+        lambda _cut: buffer.end(Refusal(Reason.BODY_CUT, Verdict.NOT_RUN, 0)),
+    )
+    refusal = await buffer.ended
+    if refusal is not None:
+        body.stopProducing()  # the rest is read and discarded
+        return refusal
     return BufferedBody(b''.join(buffer.chunks))
 
 
 class _BoundedBuffer:
-    def __init__(self, max_bytes: float) -> None:
+    def __init__(self, max_bytes: float, hold: Hold | None) -> None:
         self.chunks: list[bytes] = []
-        self.remaining_bytes = max_bytes
+        self.ended: Deferred[Refusal | None] = Deferred()
+        self._remaining_bytes = max_bytes
+        self._hold = hold
 
     def write(self, chunk: bytes) -> None:
-        """Keep a chunk unless it exceeds the maximum length."""
-        self.remaining_bytes -= len(chunk)
-        if self.remaining_bytes >= 0:
+        """Keep a chunk, or refuse a body that is too large."""
+        if self.ended.called:
+            return
+        self._remaining_bytes -= len(chunk)
+        hold = self._hold
+        if self._remaining_bytes < 0:
+            self.end(Refusal(Reason.BODY_TOO_LARGE, Verdict.NOT_RUN, 0))
+        elif hold is None or grow(hold, len(chunk)):
             self.chunks.append(chunk)
+        else:
+            self.end(Refusal(Reason.GATEWAY_FULL, Verdict.NOT_RUN))
+
+    def end(self, refusal: Refusal | None) -> None:
+        """End the body, unless it has ended."""
+        if not self.ended.called:
+            self.ended.callback(refusal)
--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -12,8 +12,11 @@
 from twisted.python.failure import Failure
 from twisted.web.http_headers import Headers
 
-from marjoramlead.bodies import BodyStream
-from marjoramlead.body_reader import collect_body
+from marjoramlead.body_reader import (
+    REQUEST_BYTES,
+    body_length,
+    collect_body,
+)
 from marjoramlead.deadlines import TimedWait
 from marjoramlead.dispatch import Dispatcher, Request, dispatch
 from marjoramlead.events import emit
@@ -21,6 +24,13 @@
 from marjoramlead.headers import HOP_BY_HOP, is_mesh_header
 from marjoramlead.http_server import StreamRequest
 from marjoramlead.ledger import Outcome
+from marjoramlead.memory_budget import (
+    Hold,
+    MemoryBudget,
+    open_hold,
+    release,
+    resize,
+)
 from marjoramlead.mesh_retry_budget import record_request
 from marjoramlead.mesh_state import MeshState, may_lack_routes
 from marjoramlead.offer_state import OVERLOAD_REASONS
@@ -56,9 +66,6 @@
 MS_PER_SECOND: Final = 1000
 # Timeout of a request without a valid ``HeaderNames.wait_ms`` header.
 DEFAULT_TIMEOUT_S: Final = 30.0
-# Limit on the request bodies in memory at any time. A request whose declared
-# length would exceed it is refused before its body is read.
-MAX_BUFFERED_BYTES: Final = 48_000_000
 # A change takes effect within two seconds. A routing table that was last
 # confirmed longer ago may lack routes that other nodes already have, so an
 # unknown route is answered with 503 instead of 404.
@@ -97,8 +104,8 @@
     ----------
     in_flight
         Requests without a final answer.
-    buffered_bytes
-        Total size of the request bodies in memory.
+    budget
+        Memory for requests and their bodies.
     shutdown
         Deadlines of the shutdown, or None before it has begun.
     parent_request_id
@@ -110,10 +117,10 @@
     header_names: HeaderNames
     round_robin: RoundRobinState
     parent_request_id: Callable[[str], str]
+    budget: MemoryBudget
     in_flight: dict[StreamRequest, Deferred[Outcome]] = field(
         default_factory=dict
     )
-    buffered_bytes: int = 0
     shutdown: ShutdownSchedule | None = None
     recent_refusals: RecentRefusals = field(default_factory=RecentRefusals)
     refused_attempts: RefusedAttempts = field(default_factory=RefusedAttempts)
@@ -127,6 +134,8 @@
 
     Attributes
     ----------
+    hold
+        Memory of the request and its body.
     soft_deadline
         Latest time of a response that meets the route's latency objective.
     client_deadline
@@ -138,6 +147,7 @@
     request_id: str
     received_at: float
     key: RequestKey
+    hold: Hold
     origin: Origin = Origin.CLIENT
     route: Route | None = None
     service: str = ''
@@ -155,6 +165,7 @@
         _header(req, frontend.header_names.request_id),
         now,
         (req.method, _header(req, b'host'), req.uri),
+        open_hold(frontend.budget),
     )
     served = Deferred.fromCoroutine(_serve(frontend, req, context))
     frontend.in_flight[req] = served
@@ -176,22 +187,31 @@
     frontend: ClientFrontend,
     req: StreamRequest,
     context: _RequestContext,
+) -> Outcome:
+    try:
+        return await _read_and_dispatch(frontend, req, context)
+    finally:
+        release(context.hold)
+
+
+async def _read_and_dispatch(
+    frontend: ClientFrontend,
+    req: StreamRequest,
+    context: _RequestContext,
 ) -> Outcome:
     refusal = _resolve_route(frontend, req, context)
     if refusal is not None:
         return refusal
-    reading = TimedWait(frontend.dispatcher.reactor, _read_body(frontend, req))
+    reading = TimedWait(
+        frontend.dispatcher.reactor, _read_body(frontend, req, context.hold)
+    )
     reading.add_deadline(context.deadline)
     body = await reading.result()
     if body is None:
         return Refusal(Reason.DEADLINE, Verdict.NOT_RUN, 0)
     if isinstance(body, Refusal):
         return body
-    frontend.buffered_bytes += len(body)
-    try:
-        return await _dispatch_by_current_table(frontend, req, context, body)
-    finally:
-        frontend.buffered_bytes -= len(body)
+    return await _dispatch_by_current_table(frontend, req, context, body)
 
 
 def _resolve_route(
@@ -265,20 +285,25 @@
 
 
 async def _read_body(
-    frontend: ClientFrontend, req: StreamRequest
+    frontend: ClientFrontend, req: StreamRequest, hold: Hold
 ) -> bytes | Refusal:
-    body = req.body
-    if not isinstance(body, BodyStream):
-        return b''
+    """Read the body if there is memory for it.
+
+    A body of a known length that does not fit is refused before it is read.
+    """
     table = frontend.dispatcher.mesh_state.table
     limit = table.limits.body_bytes if table else 0
-    length = body.length if isinstance(body.length, int) else 0
-    if length > limit:
+    length = body_length(req.body)
+    if length is not None and length > limit:
         return Refusal(Reason.BODY_TOO_LARGE, Verdict.NOT_RUN, 0)
-    if frontend.buffered_bytes + length > MAX_BUFFERED_BYTES:
+    if not resize(hold, REQUEST_BYTES + (length or 0)):
         return Refusal(Reason.GATEWAY_FULL, Verdict.NOT_RUN)
+    if req.body is None:
+        return b''
     req.send_continue()
-    collected = await collect_body(body, limit)
+    collected = await collect_body(
+        req.body, limit, hold if length is None else None
+    )
     return collected if isinstance(collected, Refusal) else collected.content
 
 
--- a/marjoramlead/compression.py
+++ b/marjoramlead/compression.py
@@ -4,6 +4,7 @@
 several nodes read it over the link of one.
 """
 
+import sys
 import zlib
 from functools import lru_cache
 from typing import Final
@@ -18,8 +19,6 @@
 CONTENT_CODING: Final = b'deflate'
 # The fastest level: nodes may have half a core.
 LEVEL: Final = 1
-# A compressed document may expand to this size at most.
-MAX_DOCUMENT_BYTES: Final = 64_000_000
 # Followers that wait are all answered at once, usually with the same document.
 CACHED_DOCUMENTS: Final = 2
 
@@ -30,11 +29,12 @@
     return zlib.compress(document, LEVEL)
 
 
-def decompress(compressed: bytes) -> Result[bytes, Fault]:
+def decompress(compressed: bytes, max_bytes: float) -> Result[bytes, Fault]:
     """Decompress a document, up to a maximum size."""
     decoder = zlib.decompressobj()
+    limit = max(1, int(min(max_bytes, sys.maxsize)))  # 0 means no limit
     try:
-        document = decoder.decompress(compressed, MAX_DOCUMENT_BYTES)
+        document = decoder.decompress(compressed, limit)
     except zlib.error as exc:
         return Error(Fault('compressed document', str(exc)))
     if not decoder.eof:
--- a/marjoramlead/feed_client.py
+++ b/marjoramlead/feed_client.py
@@ -20,6 +20,7 @@
     records_from_feed,
 )
 from marjoramlead.generated.hop_types import FeedDocument
+from marjoramlead.memory_budget import MemoryBudget, free_bytes
 from marjoramlead.mesh_state import MeshState
 from marjoramlead.mesh_updates import (
     apply_records,
@@ -63,6 +64,8 @@
 
     Attributes
     ----------
+    budget
+        Memory for the responses.
     pools
         Connection pools by address.
     """
@@ -70,6 +73,7 @@
     reactor: Clock
     metrics: Metrics
     connect: Connect
+    budget: MemoryBudget
     pools: dict[Address, ConnectionPool] = field(default_factory=dict)
 
 
@@ -89,7 +93,8 @@
     now = client.reactor.seconds()
     deadline = now + query.wait_s + RESPONSE_TIMEOUT_S
     body = _response_body(
-        await receive(client.reactor, pool, outgoing, deadline, MAX_TRANSFER_S)
+        await receive(client.reactor, pool, outgoing, deadline, MAX_TRANSFER_S),
+        client.budget,
     )
     if body.is_error() or not query.wait_s:
         close_idle(pool)
@@ -97,7 +102,9 @@
     return body.bind(decode_feed)
 
 
-def _response_body(send_result: SendResult | None) -> Result[bytes, Fault]:
+def _response_body(
+    send_result: SendResult | None, budget: MemoryBudget
+) -> Result[bytes, Fault]:
     if send_result is None:
         return Error(Fault('feed', 'no response in time'))
     if send_result.is_error():
@@ -107,7 +114,7 @@
         return Error(Fault('feed', f'status {reply.status}'))
     coding = header_value(reply.headers, b'content-encoding')
     if coding.encode() == CONTENT_CODING:
-        return decompress(reply.body)
+        return decompress(reply.body, free_bytes(budget))
     return Ok(reply.body)
 
 
@@ -166,6 +173,7 @@
             IDLE_TIMEOUT_S,
             client.connect,
             traffic_counter(client.metrics, 'feed'),
+            budget=client.budget,
         )
         client.pools[address] = pool
     return pool
--- a/marjoramlead/feed_server.py
+++ b/marjoramlead/feed_server.py
@@ -15,6 +15,7 @@
 from marjoramlead.events import emit
 from marjoramlead.feeds import FeedQuery, decode_feed_query, encode_feed
 from marjoramlead.http_server import StreamRequest
+from marjoramlead.memory_budget import MemoryBudget, open_hold, resize
 from marjoramlead.mesh_state import MeshState
 from marjoramlead.problems import BufferedResponse
 
@@ -43,6 +44,8 @@
 
     Attributes
     ----------
+    budget
+        Memory for the answers.
     is_draining
         Whether the node is shutting down. Reads are then refused, so that
         followers turn to another node.
@@ -52,6 +55,7 @@
 
     mesh_state: MeshState
     reactor: Clock
+    budget: MemoryBudget
     is_draining: bool = False
     pending: dict[StreamRequest, _PendingRead] = field(default_factory=dict)
 
@@ -112,9 +116,7 @@
     held_s: float = 0,
 ) -> None:
     if server.is_draining:
-        req.send_response(
-            BufferedResponse(HTTPStatus.SERVICE_UNAVAILABLE, Headers(), b'')
-        )
+        _refuse(req)
         return
     now = server.reactor.seconds()
     document = encode_feed(server.mesh_state, query, now, held_s)
@@ -122,7 +124,21 @@
     if len(document) >= MIN_COMPRESSED_BYTES and _accepts_compressed(req):
         document = compress(document)
         fields.setRawHeaders(b'Content-Encoding', [CONTENT_CODING])
-    req.send_response(BufferedResponse(HTTPStatus.OK, fields, document))
+    hold = open_hold(server.budget)
+    if resize(hold, len(document)):
+        req.send_response(
+            BufferedResponse(HTTPStatus.OK, fields, document, hold)
+        )
+    else:
+        emit('feed_refused', size=len(document), used=server.budget.used)
+        _refuse(req)
+
+
+def _refuse(req: StreamRequest) -> None:
+    """Refuse a read, so that the reader turns to another node."""
+    req.send_response(
+        BufferedResponse(HTTPStatus.SERVICE_UNAVAILABLE, Headers(), b'')
+    )
 
 
 def _accepts_compressed(req: StreamRequest) -> bool:
--- a/marjoramlead/hop_client.py
+++ b/marjoramlead/hop_client.py
@@ -7,7 +7,7 @@
 closed the connection as well.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -33,6 +33,7 @@
     revision_from_report,
 )
 from marjoramlead.ledger import LedgerMark, Outcome
+from marjoramlead.memory_budget import MemoryBudget
 from marjoramlead.mesh_state import TargetEntry
 from marjoramlead.metrics import Metrics, traffic_counter
 from marjoramlead.placement import (
@@ -55,7 +56,7 @@
 )
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
-__all__ = ('HopClient', 'offer_remotely')
+__all__ = ('HopClient', 'discard_hosts_except', 'offer_remotely')
 
 # A node acknowledges a request as soon as it has read it. The timeout allows
 # for one lost packet, which TCP retransmits after 200 ms.
@@ -133,6 +134,8 @@
         Returns the rate of this host's link.
     pools
         Connection pools by host.
+    budget
+        Memory for the responses.
     marks
         Last mark that was received of each host's ledger.
     """
@@ -143,11 +146,20 @@
     on_revision: Callable[[Revision], None]
     metrics: Metrics
     link_bytes_per_s: Callable[[], float]
+    budget: MemoryBudget
     connect: Connect = connect_tcp
     pools: dict[str, ConnectionPool] = field(default_factory=dict)
     marks: dict[str, LedgerMark] = field(default_factory=dict)
 
 
+def discard_hosts_except(client: HopClient, hosts: Collection[str]) -> None:
+    """Forget the hosts that no target is on; close their idle connections."""
+    for host in client.pools.keys() - hosts:
+        close_idle(client.pools.pop(host))
+    for host in client.marks.keys() - hosts:
+        client.marks.pop(host)
+
+
 async def offer_remotely(
     client: HopClient,
     job: Job,
@@ -495,4 +507,5 @@
         idle_timeout_s,
         client.connect,
         traffic_counter(client.metrics, purpose),
+        budget=client.budget,
     )
--- a/marjoramlead/http_connection.py
+++ b/marjoramlead/http_connection.py
@@ -21,7 +21,19 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from marjoramlead.events import emit
 from marjoramlead.headers import BODY_GRANTED
+from marjoramlead.memory_budget import (
+    Hold,
+    MemoryBudget,
+    grow,
+    held_bytes,
+    open_hold,
+    release,
+    set_arrived,
+    set_arriving,
+    unlimited_budget,
+)
 from marjoramlead.verdict import Reason
 
 __all__ = (
@@ -40,9 +52,6 @@
 
 HeaderList = Sequence[tuple[bytes, bytes]]
 
-# Maximum size of a response body held in memory; larger responses are treated
-# as invalid.
-MAX_RESPONSE_BYTES: Final = 64_000_000
 MAX_HEAD_BYTES: Final = 65_536
 # Methods that are sent with a Content-Length even if the body is empty.
 METHODS_WITH_BODY: Final = frozenset((b'POST', b'PUT', b'PATCH'))
@@ -77,11 +86,18 @@
 
 
 class Reply(NamedTuple):
-    """A complete response."""
+    """A complete response.
+
+    Attributes
+    ----------
+    hold
+        Its bytes in the node's memory budget, for as long as it is referenced.
+    """
 
     status: int
     headers: HeaderList
     body: bytes
+    hold: Hold | None = None
 
 
 class ConnectionFailure(NamedTuple):
@@ -140,16 +156,22 @@
 
 @dataclass(slots=True)
 class _Exchange:
-    """One request on a connection and the part of the response received."""
+    """One request on a connection and the part of the response received.
+
+    Attributes
+    ----------
+    hold
+        The bytes received so far, of heads and bodies.
+    """
 
     outgoing: OutgoingRequest
     matches: ReplyMatcher
     on_acknowledged: OnAcknowledged
     done: Deferred[SendResult]
+    hold: Hold
     sent_bytes: int = 0
     response: h11.Response | None = None
     chunks: list[bytes] = field(default_factory=list)
-    received_bytes: int = 0
 
 
 class HttpConnection(Protocol):
@@ -175,11 +197,13 @@
         on_idle: 'Callable[[HttpConnection, Reply], None]',
         on_lost: 'Callable[[HttpConnection], None]',
         on_traffic: OnTraffic,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self.is_open = False
         self.on_idle = on_idle
         self.on_lost = on_lost
         self.on_traffic = on_traffic
+        self._budget = budget or unlimited_budget()
         self._parser = _new_parser()
         self._exchange: _Exchange | None = None
         self._on_closed: OnClosed | None = None
@@ -214,8 +238,10 @@
         done: Deferred[SendResult] = Deferred(
             lambda _done: self._cancel(on_closed)
         )
-        exchange = _Exchange(outgoing, matches, on_acknowledged, done)
+        hold = open_hold(self._budget)
+        exchange = _Exchange(outgoing, matches, on_acknowledged, done, hold)
         self._exchange = exchange
+        set_arriving(hold, self._give_up)
         self._write(_encode_head(self._parser, outgoing))
         if not outgoing.expects_continue:
             self._send_body(exchange, len(outgoing.body))
@@ -224,9 +250,13 @@
     def dataReceived(self, chunk: bytes) -> None:
         """Process received bytes; abort if no request is in progress."""
         self.on_traffic(0, len(chunk))
-        if self._exchange is not None:
-            self._exchange.outgoing.on_progress()
-            self._receive(chunk)
+        exchange = self._exchange
+        if exchange is not None:
+            exchange.outgoing.on_progress()
+            if grow(exchange.hold, len(chunk)):
+                self._receive(chunk)
+            else:
+                self._give_up()
         elif self._on_closed is None:
             self.abort()
 
@@ -258,7 +288,7 @@
         TCP retransmits a half-close until it is acknowledged, but sends a reset
         only once.
         """
-        self._exchange = None
+        self._end_exchange()
         if on_closed is None:
             self.abort()
             return
@@ -293,17 +323,21 @@
         if isinstance(event, h11.InformationalResponse):
             self._on_informational(exchange, event)
         elif isinstance(event, h11.Response):
-            exchange.response = event
+            self._on_head(exchange, event)
         elif isinstance(event, h11.Data):
             exchange.chunks.append(bytes(event.data))
-            exchange.received_bytes += len(event.data)
-            if exchange.received_bytes > MAX_RESPONSE_BYTES:
-                self._abort_exchange(Reason.BAD_ANSWER)
         elif isinstance(event, h11.EndOfMessage):
             self._on_end(exchange)
         else:
             self._abort_exchange(Reason.TARGET_FAILED)
 
+    def _on_head(self, exchange: _Exchange, event: h11.Response) -> None:
+        """Give up a response at once that is longer than the budget."""
+        exchange.response = event
+        length = header_value(event.headers, b'content-length')
+        if length.isdecimal() and int(length) > self._budget.capacity:
+            self._give_up()
+
     def _on_informational(
         self, exchange: _Exchange, event: h11.InformationalResponse
     ) -> None:
@@ -334,11 +368,12 @@
             response.status_code,
             response.headers.raw_items(),
             b''.join(exchange.chunks),
+            exchange.hold,
         )
         if not exchange.matches(reply):
             self._skip_reply(exchange)
             return
-        self._exchange = None
+        self._end_exchange()
         if self._is_reusable():
             self._parser.start_next_cycle()
             self.on_idle(self, reply)
@@ -361,19 +396,33 @@
         trailing = self._parser.trailing_data[0]
         exchange.response = None
         exchange.chunks = []
+        release(exchange.hold)
         self._parser = _new_parser()
         _encode_head(self._parser, exchange.outgoing)
         _encode_body(self._parser, exchange.outgoing)
         if trailing:  # empty data would signal end of stream
             self._parser.receive_data(trailing)
 
+    def _give_up(self) -> None:
+        """End a response that the node has no memory for."""
+        if self._exchange is not None:
+            received = held_bytes(self._exchange.hold)
+            emit('response_given_up', received=received)
+        self._abort_exchange(Reason.GATEWAY_FULL)
+
     def _abort_exchange(self, reason: Reason) -> None:
         self.abort()
         self._fail(reason)
 
-    def _fail(self, reason: Reason) -> None:
+    def _end_exchange(self) -> _Exchange | None:
         exchange = self._exchange
         self._exchange = None
+        if exchange is not None:
+            set_arrived(exchange.hold)
+        return exchange
+
+    def _fail(self, reason: Reason) -> None:
+        exchange = self._end_exchange()
         if exchange is not None and not exchange.done.called:
             exchange.done.callback(
                 Error(ConnectionFailure(reason, may_have_arrived=True))
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -24,7 +24,16 @@
     ConnectionTimers,
     HeadLimits,
 )
+from marjoramlead.events import emit
 from marjoramlead.headers import BODY_GRANTED
+from marjoramlead.memory_budget import (
+    Hold,
+    MemoryBudget,
+    open_hold,
+    release,
+    resize,
+    unlimited_budget,
+)
 from marjoramlead.problems import BufferedResponse
 
 __all__ = (
@@ -46,12 +55,20 @@
 UNSENT_BODY_TIMEOUT_S: Final = 1.0
 # Time for the first request of a connection that is new when its site closes.
 FIRST_REQUEST_WAIT_S: Final = 0.2
+# Memory of a connection without a request.
+CONNECTION_BYTES: Final = 4_096
 EXPECT_HEADER: Final = b'Expect'
 HEAD_TIMEOUT_RESPONSE: Final = (
     b'HTTP/1.1 408 Request Timeout\r\n'
     b'Connection: close\r\n'
     b'Content-Length: 0\r\n\r\n'
 )
+NO_MEMORY_RESPONSE: Final = (
+    b'HTTP/1.1 503 Service Unavailable\r\n'
+    b'Connection: close\r\n'
+    b'Retry-After: 1\r\n'
+    b'Content-Length: 0\r\n\r\n'
+)
 
 
 class Transport(Protocol):
@@ -180,6 +197,7 @@
             self.channel.persistent = False
             self.responseHeaders.setRawHeaders(b'Connection', [b'close'])
         self.write(response.body)
+        self.channel.keep_until_sent(response.hold)
         self.finish_response()
 
     def finish_response(self) -> None:
@@ -234,12 +252,15 @@
     ----------
     is_used
         Whether it has carried a request.
+    hold
+        Its own memory, with that of what is read but not parsed yet.
     """
 
     requestFactory = StreamRequest  # type: ignore[assignment]  # noqa: WPS115  # overrides
     handler: Handler
     site: 'StreamSite'
     timers: ConnectionTimers
+    hold: Hold
     transport: Transport  # type: ignore[assignment]  # always TCP
     # Bytes of later requests that are kept before reading stops. While it is
     # stopped, the close of the connection is not detected.
@@ -248,17 +269,27 @@
     def __init__(self) -> None:
         super().__init__()
         self.is_used = False
+        self._unsent: list[Hold] = []
 
     def connectionMade(self) -> None:
-        """Register the connection and start its keep-alive timeout."""
+        """Register the connection and start its keep-alive timeout.
+
+        A connection for which the node has no memory is closed.
+        """
         self.timeOut = None
         super().connectionMade()
         self.site.channels.add(self)
-        self.timers.start_idle_period()
+        if resize(self.hold, CONNECTION_BYTES):
+            self.timers.start_idle_period()
+        else:
+            emit('connection_refused')
+            self.loseConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Remove the connection and cancel its timers."""
         self.timers.cancel()
+        self._unsent.clear()
+        release(self.hold)
         super().connectionLost(reason)
         self.site.remove_channel(self)
 
@@ -267,9 +298,21 @@
         if not self.requests:
             self.totalHeadersSize = self.site.limits().header_bytes
         super().dataReceived(chunk)
+        if not resize(self.hold, CONNECTION_BYTES + self._unparsed_bytes()):
+            self._stop_reading()
         if self._has_part_of_head():
             self.timers.start_head()
 
+    def resumeProducing(self) -> None:
+        """Release the responses that the operating system has accepted."""
+        self._unsent.clear()
+        super().resumeProducing()
+
+    def keep_until_sent(self, hold: Hold | None) -> None:
+        """Hold the memory of a response that is written but not sent."""
+        if hold is not None and self._waitingForTransport:
+            self._unsent.append(hold)
+
     def allHeadersReceived(self) -> None:
         """Cancel the timeout of the head and the keep-alive timeout."""
         self.is_used = True
@@ -310,6 +353,17 @@
             self.transport.write(HEAD_TIMEOUT_RESPONSE)
             self.loseConnection()
 
+    def _unparsed_bytes(self) -> int:
+        return len(self._buffer) + sum(map(len, self._dataBuffer))
+
+    def _stop_reading(self) -> None:
+        """Refuse a head that does not fit, or wait with the next requests."""
+        if self.requests:
+            self.transport.pauseProducing()
+        elif not self.transport.disconnecting:
+            self.transport.write(NO_MEMORY_RESPONSE)
+            self.loseConnection()
+
     def _has_part_of_head(self) -> bool:
         """Return whether a head has begun; empty lines ahead do not count."""
         has_begun = bool(self.requests) or bool(self._buffer.strip())
@@ -323,6 +377,7 @@
     handler: Handler,
     reactor: Clock,
     limits: Callable[[], HeadLimits] = HeadLimits,
+    budget: MemoryBudget | None = None,
 ) -> 'StreamSite':
     """Build a server that calls one handler with each request.
 
@@ -334,8 +389,10 @@
         Clock of the timeouts.
     limits
         Returns the limits in force; called as they are applied.
+    budget
+        Memory for connections and for what is read ahead; unlimited by default.
     """
-    return StreamSite(handler, reactor, limits)
+    return StreamSite(handler, reactor, limits, budget or unlimited_budget())
 
 
 class StreamSite(HTTPFactory):
@@ -358,6 +415,7 @@
         handler: Handler,
         reactor: Clock,
         limits: Callable[[], HeadLimits],
+        budget: MemoryBudget,
     ) -> None:
         super().__init__(
             timeout=IDLE_TIMEOUT_S,
@@ -366,6 +424,7 @@
         self._handler = handler
         self.clock = reactor
         self.limits = limits
+        self._budget = budget
         self.channels: set[_StreamChannel] = set()
         self.is_closing = False
         self._all_closed: Deferred[None] = Deferred()
@@ -416,6 +475,7 @@
         channel = _StreamChannel()
         channel.handler = self._handler
         channel.site = self
+        channel.hold = open_hold(self._budget)
         channel.timers = ConnectionTimers(
             self.clock,
             self.limits,
--- a/marjoramlead/incoming_body.py
+++ b/marjoramlead/incoming_body.py
@@ -113,7 +113,11 @@
                 self._waiter = None
                 self._cancel_timer()
                 raise
-        return self._refusal or b''.join(self._chunks)
+        if self._refusal is not None:
+            return self._refusal
+        body = b''.join(self._chunks)
+        self._chunks = [body]
+        return body
 
     def _watch_sender(self) -> None:
         self._cancel_timer()
--- a/marjoramlead/ledger.py
+++ b/marjoramlead/ledger.py
@@ -12,6 +12,7 @@
 """
 
 import os
+import time
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
@@ -43,7 +44,6 @@
 # A sender that has lost its connection queries the outcome within its connect
 # timeout.
 ANSWER_RETENTION_S: Final = 3.0
-MICROSECONDS_PER_SECOND: Final = 1_000_000
 RUN_ID_BYTES: Final = 4
 
 NEVER_SEEN: Final = Refusal(Reason.NEVER_SEEN, Verdict.NOT_RUN)
@@ -105,14 +105,14 @@
     forgotten: int = 0
 
 
-def new_ledger(now: float) -> AttemptLedger:
+def new_ledger() -> AttemptLedger:
     """Return the ledger of a process that has just started.
 
     The identifier of the run holds the time, too, because a host that has just
     started may have little randomness.
     """
-    microseconds = round(now * MICROSECONDS_PER_SECOND)
-    return AttemptLedger(f'{microseconds:x}.{os.urandom(RUN_ID_BYTES).hex()}')
+    random = os.urandom(RUN_ID_BYTES).hex()
+    return AttemptLedger(f'{time.time_ns():x}.{random}')
 
 
 def ledger_mark(ledger: AttemptLedger) -> LedgerMark:
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -25,6 +25,7 @@
     make_site,
 )
 from marjoramlead.listeners import Listener, close_listeners, close_port
+from marjoramlead.memory_budget import budget_capacity
 from marjoramlead.mesh_updates import (
     expire_held_targets,
     settle_deferred_changes,
@@ -119,7 +120,7 @@
     handler: Handler,
     limits: Callable[[], HeadLimits] = HeadLimits,
 ) -> None:
-    site = make_site(handler, sidecar.reactor, limits)
+    site = make_site(handler, sidecar.reactor, limits, sidecar.budget)
     port = sidecar.reactor.listenTCP(address[1], site, interface=address[0])
     sidecar.listeners[address] = Listener(port, site)
 
@@ -207,7 +208,9 @@
             config.target,
             TARGET_IDLE_TIMEOUT_S,
             sidecar.gate.pool.connect,
+            budget=sidecar.budget,
         )
+    sidecar.budget.capacity = budget_capacity(config.memory_bytes)
     sidecar.dispatcher.budget.config = config.budget
     sidecar.gate.body_grants.link_bytes_per_s = config.link_bytes_per_s
     apply_mesh_changes(sidecar)
--- /dev/null
+++ b/marjoramlead/memory_budget.py
@@ -0,0 +1,172 @@
+"""Bound the memory that messages take in a node at the same time.
+
+The load is many large bodies at a time, in either direction, and answers that
+do not end. Each message that arrives or waits to be sent has a hold on the
+budget for as long as its bytes are in memory. A message that does not fit is
+refused; a smaller one takes the place of the largest answer that is arriving,
+which is the most likely never to end.
+
+This module does no I/O.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+from weakref import finalize
+
+__all__ = (
+    'Hold',
+    'MemoryBudget',
+    'budget_capacity',
+    'free_bytes',
+    'grow',
+    'held_bytes',
+    'open_hold',
+    'release',
+    'resize',
+    'set_arrived',
+    'set_arriving',
+    'unlimited_budget',
+)
+
+# Memory of the program without messages: code, routing tables, records of the
+# store and connections.
+PROGRAM_BYTES: Final = 56_000_000
+# Most copies of a message that are in memory at the same time: its parts, the
+# whole, and what the transport has not sent.
+MAX_COPIES: Final = 3
+# Smallest budget, for hosts with less memory than the program should have.
+MIN_CAPACITY_BYTES: Final = 4_000_000
+UNLIMITED: Final = float('inf')
+
+
+@dataclass(slots=True)
+class MemoryBudget:
+    """Bytes that messages may have at the same time, and that they have.
+
+    Attributes
+    ----------
+    arriving
+        Holds of answers that are arriving, which may be given up.
+    given_up
+        Number of answers that gave way to smaller ones.
+    refused
+        Number of messages that did not fit.
+    """
+
+    capacity: float
+    used: int = 0
+    arriving: 'set[Hold]' = field(default_factory=set)
+    given_up: int = 0
+    refused: int = 0
+
+
+def _keep() -> None:
+    """Do nothing: a message that has arrived is not given up."""
+
+
+@dataclass(slots=True)
+class _Charge:
+    budget: MemoryBudget
+    size: int = 0
+
+
+@dataclass(slots=True, eq=False, weakref_slot=True)
+class Hold:
+    """The bytes of one message. They are released with the last reference.
+
+    Attributes
+    ----------
+    give_up
+        Ends the arrival of the message.
+    """
+
+    charge: _Charge
+    give_up: Callable[[], None] = _keep
+
+
+def budget_capacity(memory_bytes: float) -> float:
+    """Return the bytes that messages may have in a process.
+
+    Parameters
+    ----------
+    memory_bytes
+        Memory that the process must not exceed.
+    """
+    left = (memory_bytes - PROGRAM_BYTES) / MAX_COPIES
+    return max(MIN_CAPACITY_BYTES, left)
+
+
+def unlimited_budget() -> MemoryBudget:
+    """Return a budget that everything fits into."""
+    return MemoryBudget(UNLIMITED)
+
+
+def free_bytes(budget: MemoryBudget) -> float:
+    """Return how many bytes fit without another message giving way."""
+    return max(0, budget.capacity - budget.used)
+
+
+def open_hold(budget: MemoryBudget) -> Hold:
+    """Return a hold on no bytes."""
+    charge = _Charge(budget)
+    hold = Hold(charge)
+    finalize(hold, _release_charge, charge).atexit = False
+    return hold
+
+
+def held_bytes(hold: Hold) -> int:
+    """Return the size of a message."""
+    return hold.charge.size
+
+
+def grow(hold: Hold, size: int) -> bool:
+    """Add to the size of a message; return whether it fits."""
+    return resize(hold, hold.charge.size + size)
+
+
+def resize(hold: Hold, size: int) -> bool:
+    """Change the size of a message; return whether it fits.
+
+    The size is not changed if it does not fit. Larger answers that are arriving
+    give way to it.
+    """
+    charge = hold.charge
+    budget = charge.budget
+    while _exceeds(budget, size - charge.size):
+        largest = max(budget.arriving, key=held_bytes, default=hold)
+        if largest is hold or held_bytes(largest) < size:
+            budget.refused += 1
+            return False
+        budget.given_up += 1
+        set_arrived(largest)
+        release(largest)
+        largest.give_up()
+    budget.used += size - charge.size
+    charge.size = size
+    return True
+
+
+def release(hold: Hold) -> None:
+    """Release all bytes of a message."""
+    _release_charge(hold.charge)
+
+
+def set_arriving(hold: Hold, give_up: Callable[[], None]) -> None:
+    """Note that the message is arriving, and may be given up."""
+    hold.give_up = give_up
+    hold.charge.budget.arriving.add(hold)
+
+
+def set_arrived(hold: Hold) -> None:
+    """Note that the message has arrived, or that its arrival has ended."""
+    hold.charge.budget.arriving.discard(hold)
+
+
+def _exceeds(budget: MemoryBudget, added: int) -> bool:
+    return added > 0 and budget.used + added > budget.capacity
+
+
+def _release_charge(charge: _Charge) -> None:
+    charge.budget.used -= charge.size
+    charge.size = 0
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -15,7 +15,11 @@
 
 from marjoramlead.bodies import BodyStream
 from marjoramlead.body_grants import MIN_WINDOW_BYTES
-from marjoramlead.body_reader import collect_body
+from marjoramlead.body_reader import (
+    REQUEST_BYTES,
+    body_length,
+    collect_body,
+)
 from marjoramlead.events import emit
 from marjoramlead.feed_server import FeedServer, answer_feed_read
 from marjoramlead.feeds import FEED_PATH
@@ -38,10 +42,15 @@
 from marjoramlead.http_server import StreamRequest, expects_continue
 from marjoramlead.incoming_body import IncomingBody
 from marjoramlead.ledger import Outcome, ledger_mark, query_outcome
+from marjoramlead.memory_budget import Hold, open_hold, release, resize
 from marjoramlead.mesh_state import note_reported_version
 from marjoramlead.problems import BufferedResponse
 from marjoramlead.replies import response_from_reply
-from marjoramlead.target_gate import TargetGate, not_run_refusal
+from marjoramlead.target_gate import (
+    RECEIVING_RETRY_AFTER_S,
+    TargetGate,
+    not_run_refusal,
+)
 from marjoramlead.target_queue import load_report
 from marjoramlead.target_runs import (
     PendingBody,
@@ -54,6 +63,7 @@
 
 __all__ = ('handle_peer_request',)
 
+MAX_QUERY_BYTES: Final = 4_096
 ACKNOWLEDGEMENT: Final = b'HTTP/1.1 102 Processing\r\n%b: %b\r\n\r\n'
 
 
@@ -118,11 +128,22 @@
     req: StreamRequest,
     terms: JobTerms,
 ) -> Outcome:
+    hold = open_hold(gate.budget)
+    if not resize(hold, REQUEST_BYTES + (body_length(req.body) or 0)):
+        return Refusal(
+            Reason.OVERLOAD, Verdict.NOT_RUN, RECEIVING_RETRY_AFTER_S
+        )
     job = _build_job(req, terms, gate.reactor.seconds())
     req.notifyFinish().addErrback(lambda _gone: abandon_job(gate, job))
-    return await serve_job(
-        gate, job, lambda: _read_body(req), _pending_body(gate, req, terms)
-    )
+    try:
+        return await serve_job(
+            gate,
+            job,
+            lambda: _read_body(req, hold),
+            _pending_body(gate, req, terms),
+        )
+    finally:
+        release(hold)
 
 
 def _pending_body(
@@ -132,7 +153,7 @@
     stream = req.body
     if not (expects_continue(req) and isinstance(stream, BodyStream)):
         return None
-    length = stream.length if isinstance(stream.length, int) else 0
+    length = body_length(stream) or 0
     window = max(MIN_WINDOW_BYTES, terms.get('body_window', 0))
     body = IncomingBody(
         req, stream, length, window, gate.body_grants, gate.reactor
@@ -140,12 +161,15 @@
     return PendingBody(length, body.receive_ahead, body.receive_end)
 
 
-async def _read_body(req: StreamRequest) -> bytes | Refusal:
+async def _read_body(req: StreamRequest, hold: Hold) -> bytes | Refusal:
     if not isinstance(req.body, BodyStream):
         return b''
-    collected = await collect_body(req.body)
+    is_counted = body_length(req.body) is not None
+    collected = await collect_body(req.body, hold=None if is_counted else hold)
     if isinstance(collected, Refusal):
-        return not_run_refusal(Reason.CALLER_GONE)
+        is_cut = collected.reason is Reason.BODY_CUT
+        reason = Reason.CALLER_GONE if is_cut else Reason.OVERLOAD
+        return not_run_refusal(reason)
     return collected.content
 
 
@@ -188,7 +212,7 @@
 async def _answer_fate_query(gate: TargetGate, req: StreamRequest) -> Outcome:
     if not isinstance(req.body, BodyStream):
         return Refusal(Reason.BAD_ANSWER, Verdict.MAY_HAVE_RUN, 0)
-    collected = await collect_body(req.body)
+    collected = await collect_body(req.body, MAX_QUERY_BYTES)
     if isinstance(collected, Refusal):
         return collected
     decoded_query = decode_fate_query(collected.content)
--- a/marjoramlead/platform/__main__.py
+++ b/marjoramlead/platform/__main__.py
@@ -46,7 +46,9 @@
     adapter = PlatformAdapter(
         PLATFORM_HEADER_NAMES,
         partial(decode_record, RouteCache()),
-        lambda metrics: PlatformStore(reactor, config.store, metrics),
+        lambda metrics, budget: PlatformStore(
+            reactor, config.store, metrics, budget
+        ),
         _make_reloader(path, load_sidecar_config),
         parent_request_id,
     )
--- a/marjoramlead/platform/decoding.py
+++ b/marjoramlead/platform/decoding.py
@@ -27,9 +27,21 @@
 from marjoramlead.platform.routing import RouteCache, decode_routing_table
 from marjoramlead.record_log import Record
 
-__all__ = ('decode_record',)
+__all__ = ('decode_record', 'reduce_value')
 
 TARGET_STATES: Final = ('ready', 'draining')
+TARGET_FIELDS: Final = (
+    'Service',
+    'Address',
+    'Zone',
+    'Slots',
+    'State',
+    'WarmupLeft',
+    'born',
+)
+# Values of up to this size are kept as they are. The entry of a target has
+# about 250 bytes.
+MAX_ENTRY_BYTES: Final = 1024
 
 
 def decode_record(
@@ -53,6 +65,28 @@
     return None
 
 
+def reduce_value(key: str, body: bytes) -> bytes:
+    """Return what nodes use of a value, which they keep and pass on.
+
+    Other writers may store large values under any key. One that names nothing
+    to use is reduced to an empty text, which names nothing either.
+    """
+    if key == CONFIG_KEY or len(body) <= MAX_ENTRY_BYTES:
+        return body
+    if not key.startswith(TARGET_PREFIX):
+        return b''
+    try:
+        document = msgspec.json.decode(body)
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        emit('record_refused', key=key, reason=type(exc).__name__)
+        return b''
+    if not isinstance(document, dict):
+        return b''
+    used = {name: document.get(name) for name in TARGET_FIELDS}
+    reduced = msgspec.json.encode(used)
+    return reduced if len(reduced) <= MAX_ENTRY_BYTES else b''
+
+
 def _decode(cache: RouteCache, record: Record, now: float) -> DecodedRecord:
     if record.key.startswith(EVACUATION_PREFIX):
         return ExcludedDataCentre(record.key.removeprefix(EVACUATION_PREFIX))
--- a/marjoramlead/platform/settings.py
+++ b/marjoramlead/platform/settings.py
@@ -18,6 +18,9 @@
 BYTES_PER_S_OF_MBPS: Final = 125_000
 # Rate of a link that the settings do not name.
 DEFAULT_LINK_MBPS: Final = 1000.0
+# Memory of a process that the settings do not name: that of small hosts.
+DEFAULT_MEMORY_MB: Final = 128.0
+BYTES_PER_MB: Final = 1_000_000
 # Bounds that apply where the settings do not set them.
 DEFAULT_BOUNDS: Final = {  # noqa: WPS407  # never modified
     'Grace': '6s',
@@ -63,6 +66,9 @@
         link_bytes_per_s=(
             settings.get('link_mbps', DEFAULT_LINK_MBPS) * BYTES_PER_S_OF_MBPS
         ),
+        memory_bytes=(
+            settings.get('memory_mb', DEFAULT_MEMORY_MB) * BYTES_PER_MB
+        ),
         budget=MeshRetryBudgetConfig(
             ratio=float(bounds['RetryBudgetRatio']),
             slack=float(bounds['BudgetSlack']),
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -13,7 +13,9 @@
 from marjoramlead.clock import Clock
 from marjoramlead.errors import Fault
 from marjoramlead.events import emit
+from marjoramlead.memory_budget import MemoryBudget
 from marjoramlead.metrics import Metrics, traffic_counter
+from marjoramlead.platform.decoding import reduce_value
 from marjoramlead.platform.names import (
     ERA_HEADER,
     OPERATOR_PREFIX,
@@ -33,6 +35,7 @@
     connect_tcp,
     header_value,
 )
+from marjoramlead.verdict import Reason
 
 __all__ = ('PlatformStore',)
 
@@ -72,6 +75,7 @@
         reactor: Clock,
         address: Address,
         metrics: Metrics,
+        budget: MemoryBudget,
         connect: Connect = connect_tcp,
     ) -> None:
         self._reactor = reactor
@@ -81,6 +85,7 @@
             IDLE_TIMEOUT_S,
             connect,
             traffic_counter(metrics, 'store'),
+            budget=budget,
         )
         self._host = f'{address[0]}:{address[1]}'.encode()
         self._metrics = metrics
@@ -205,7 +210,7 @@
     if send_result is None:
         return Error(Fault('silent', 'no response in time'))
     if send_result.is_error():
-        return Error(Fault('connection', send_result.error.reason.value))
+        return Error(_connection_fault(send_result.error.reason, list_field))
     if send_result.ok.status == HTTPStatus.GONE:
         return Error(Fault('history', 'the revision is no longer available'))
     if send_result.ok.status != HTTPStatus.OK:
@@ -216,6 +221,17 @@
     )
 
 
+def _connection_fault(reason: Reason, list_field: str) -> Fault:
+    """Return the fault of a lost answer.
+
+    Changes that there is no memory for are listed page by page instead.
+    """
+    is_too_large = reason is Reason.GATEWAY_FULL
+    if is_too_large and list_field == LIST_FIELDS['kv-watch']:
+        return Fault('history', 'the changes are too large for one answer')
+    return Fault('connection', reason.value)
+
+
 def _decode_document(
     body: bytes, list_field: str
 ) -> Result[dict[str, Any], Fault]:
@@ -289,7 +305,8 @@
 
 def _decode_value(item: Mapping[str, Any]) -> bytes:
     try:
-        return b64decode(item['Value'], validate=True)
+        body = b64decode(item['Value'], validate=True)
     except (KeyError, TypeError, ValueError) as exc:
         emit('record_refused', key=item['Key'], reason=str(exc))
         return b''
+    return reduce_value(item['Key'], body)
--- a/marjoramlead/problems.py
+++ b/marjoramlead/problems.py
@@ -7,6 +7,7 @@
 from twisted.web.http_headers import Headers
 
 from marjoramlead import headers as names
+from marjoramlead.memory_budget import Hold
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
 __all__ = (
@@ -28,11 +29,18 @@
 
 
 class BufferedResponse(NamedTuple):
-    """A complete HTTP response, held in memory."""
+    """A complete HTTP response, held in memory.
+
+    Attributes
+    ----------
+    hold
+        Its bytes in the memory budget, until they are sent.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    hold: Hold | None = None
 
 
 def refusal_response(refusal: Refusal, request_id: str) -> BufferedResponse:
--- a/marjoramlead/record_log.py
+++ b/marjoramlead/record_log.py
@@ -31,6 +31,8 @@
 # Records of at least this size are sent between nodes as deltas.
 LARGE_RECORD_BYTES: Final = 4096
 REPLACED_VERSIONS: Final = 6
+# Most bytes of the replaced versions of a record.
+MAX_REPLACED_BYTES: Final = 2_000_000
 
 
 class Record(NamedTuple):
@@ -157,10 +159,14 @@
     if len(record.body or b'') >= LARGE_RECORD_BYTES:
         versions = log.replaced.setdefault(record.key, [])
         versions.append(record)
-        if len(versions) > REPLACED_VERSIONS:
+        while len(versions) > REPLACED_VERSIONS or _is_oversized(versions):
             versions.pop(0)
 
 
+def _is_oversized(versions: list[Record]) -> bool:
+    return sum(len(each.body or b'') for each in versions) > MAX_REPLACED_BYTES
+
+
 def _prune_tombstones(log: RecordLog) -> None:
     tombstones = [
         record for record in log.by_key.values() if record.body is None
--- a/marjoramlead/replies.py
+++ b/marjoramlead/replies.py
@@ -15,4 +15,4 @@
     for name, raw in reply.headers:
         if name.lower() not in HOP_BY_HOP:
             fields.addRawHeader(name, raw)
-    return BufferedResponse(reply.status, fields, reply.body)
+    return BufferedResponse(reply.status, fields, reply.body, reply.hold)
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -17,9 +17,9 @@
 from marjoramlead.feed_server import FeedServer, answer_pending_reads
 from marjoramlead.feed_tree import FeedAddresses, choose_addresses
 from marjoramlead.header_names import HeaderNames
-from marjoramlead.hop_client import HopClient
-from marjoramlead.ledger import new_ledger
+from marjoramlead.hop_client import HopClient, discard_hosts_except
 from marjoramlead.listeners import Listener
+from marjoramlead.memory_budget import MemoryBudget, budget_capacity
 from marjoramlead.mesh_retry_budget import MeshRetryBudget
 from marjoramlead.mesh_state import MeshState, RecordDecoder
 from marjoramlead.metrics import Metrics
@@ -58,7 +58,7 @@
     decode_record
         Decodes one record of the store.
     make_store
-        Creates the client of the store.
+        Creates the client of the store, with the memory for its answers.
     reload_config
         Reads the settings again; returns None if they have not changed or
         are invalid.
@@ -71,7 +71,7 @@
 
     header_names: HeaderNames
     decode_record: RecordDecoder
-    make_store: Callable[[Metrics], Store]
+    make_store: Callable[[Metrics, MemoryBudget], Store]
     reload_config: Callable[[], SidecarConfig | None]
     parent_request_id: Callable[[str], str]
     connect: Connect = connect_tcp
@@ -96,6 +96,7 @@
 
     config: SidecarConfig
     reactor: Reactor
+    budget: MemoryBudget
     mesh_state: MeshState
     gate: TargetGate
     dispatcher: Dispatcher
@@ -122,24 +123,30 @@
 ) -> Sidecar:
     """Assemble the parts of a node, without opening any port."""
     metrics = Metrics()
-    connect = adapter.connect
     mesh_state = MeshState(adapter.decode_record)
+    budget = MemoryBudget(budget_capacity(config.memory_bytes))
     mesh_state.restoration.lease_s = LEASE_HEARTBEATS * config.heartbeat_s
     gate = TargetGate(
         config.target,
         mesh_state,
         adapter.header_names,
         reactor,
-        ConnectionPool(reactor, config.target, TARGET_IDLE_TIMEOUT_S, connect),
-        new_ledger(reactor.seconds()),
+        ConnectionPool(
+            reactor,
+            config.target,
+            TARGET_IDLE_TIMEOUT_S,
+            adapter.connect,
+            budget=budget,
+        ),
         metrics,
         BodyGrants(config.link_bytes_per_s),
+        budget,
     )
     sidecar: Sidecar
     store_watcher = StoreWatcher(
         mesh_state,
-        adapter.make_store(metrics),
-        FeedClient(reactor, metrics, connect),
+        adapter.make_store(metrics, budget),
+        FeedClient(reactor, metrics, adapter.connect, budget),
         lambda: sidecar.feed_sources,
         lambda: _peer_addresses(sidecar),
         lambda: apply_mesh_changes(sidecar),
@@ -158,7 +165,8 @@
             lambda revision: note_reported_revision(store_watcher, revision),
             metrics,
             lambda: sidecar.config.link_bytes_per_s,
-            connect,
+            budget,
+            adapter.connect,
         ),
         balancer,
         MeshRetryBudget(config.budget, lambda: len(mesh_state.targets)),
@@ -172,16 +180,18 @@
         adapter.header_names,
         RoundRobinState(rng),
         adapter.parent_request_id,
+        budget,
     )
     sidecar = Sidecar(
         config,
         reactor,
+        budget,
         mesh_state,
         gate,
         dispatcher,
         frontend,
         store_watcher,
-        FeedServer(mesh_state, reactor),
+        FeedServer(mesh_state, reactor, budget),
         metrics,
         adapter,
     )
@@ -207,6 +217,12 @@
     )
 
 
+def _forget_hosts(sidecar: Sidecar) -> None:
+    """Drop what is kept of hosts that have no target any more."""
+    hosts = {entry.address[0] for entry in sidecar.mesh_state.targets.values()}
+    discard_hosts_except(sidecar.dispatcher.hop_client, hosts)
+
+
 def apply_mesh_changes(sidecar: Sidecar) -> None:
     """Bring what depends on the mesh state in line with it."""
     apply_target_entry(sidecar.gate)
@@ -214,3 +230,4 @@
     sidecar.dispatcher.balancer.discard_except(
         [entry.target_id for entry in sidecar.mesh_state.targets.values()],
     )
+    _forget_hosts(sidecar)
--- a/marjoramlead/sidecar_config.py
+++ b/marjoramlead/sidecar_config.py
@@ -35,6 +35,8 @@
         Seconds from SIGTERM until the process must have ended.
     link_bytes_per_s
         Rate of this host's network link.
+    memory_bytes
+        Memory that the process must not exceed.
     budget
         Limits on the retries of all nodes together.
     """
@@ -53,4 +55,5 @@
     heartbeat_s: float
     termination_grace_s: float
     link_bytes_per_s: float
+    memory_bytes: float
     budget: MeshRetryBudgetConfig
--- a/marjoramlead/sidecar_status.py
+++ b/marjoramlead/sidecar_status.py
@@ -111,6 +111,21 @@
         'Seconds until the target is no longer cold.',
         lambda: max(0, queue.cold_until - now()),
     )
+    register(
+        'message_bytes',
+        'Bytes of messages in memory.',
+        lambda: sidecar.budget.used,
+    )
+    register(
+        'message_bytes_limit',
+        'Bytes that messages may have in memory.',
+        lambda: sidecar.budget.capacity,
+    )
+    register(
+        'messages_refused',
+        'Messages for which there was no memory, since the start.',
+        lambda: sidecar.budget.refused + sidecar.budget.given_up,
+    )
     register(
         'news_age_seconds',
         'Seconds since the mesh state was last confirmed as current.',
--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -14,7 +14,8 @@
 from marjoramlead.header_names import HeaderNames
 from marjoramlead.hops import Job
 from marjoramlead.job_routes import refuse_changed_route
-from marjoramlead.ledger import AttemptLedger, Outcome
+from marjoramlead.ledger import AttemptLedger, Outcome, new_ledger
+from marjoramlead.memory_budget import MemoryBudget
 from marjoramlead.mesh_state import (
     MeshState,
     TargetEntry,
@@ -42,6 +43,7 @@
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
 __all__ = (
+    'RECEIVING_RETRY_AFTER_S',
     'ReadBody',
     'TargetGate',
     'acquire_slot',
@@ -77,6 +79,8 @@
         request may run, or with its refusal.
     body_grants
         Bodies that other nodes send for the local target.
+    budget
+        Memory for these bodies.
     jobs
         Current attempts, by attempt id.
     tasks
@@ -101,9 +105,10 @@
     header_names: HeaderNames
     reactor: Clock
     pool: ConnectionPool
-    ledger: AttemptLedger
     metrics: Metrics
     body_grants: BodyGrants
+    budget: MemoryBudget
+    ledger: AttemptLedger = field(default_factory=new_ledger)
     queue: TargetQueue = field(default_factory=TargetQueue)
     request_numbers: 'count[int]' = field(default_factory=count)
     waiters: dict[int, Deferred[Refusal | None]] = field(default_factory=dict)
--- a/marjoramlead/upstream.py
+++ b/marjoramlead/upstream.py
@@ -26,6 +26,7 @@
     SendResult,
     header_value,
 )
+from marjoramlead.memory_budget import MemoryBudget, unlimited_budget
 from marjoramlead.verdict import Reason
 
 __all__ = (
@@ -105,6 +106,8 @@
         Idle connections, with the time until which each can be reused.
     opened_count
         Number of connections opened so far.
+    budget
+        Memory for the responses.
     """
 
     reactor: Clock
@@ -114,6 +117,7 @@
     on_traffic: OnTraffic = _ignore_traffic
     idle: dict[HttpConnection, float] = field(default_factory=dict)
     opened_count: int = 0
+    budget: MemoryBudget = field(default_factory=unlimited_budget)
 
 
 def _match_any(_reply: Reply) -> bool:
@@ -205,7 +209,7 @@
     def on_lost(connection: HttpConnection) -> None:
         pool.idle.pop(connection, None)
 
-    connection = HttpConnection(on_idle, on_lost, pool.on_traffic)
+    connection = HttpConnection(on_idle, on_lost, pool.on_traffic, pool.budget)
     try:
         await pool.connect(pool.reactor, pool.address, connection)
     except CancelledError:
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -163,6 +163,7 @@
     exchange_count: int = 0
     seeds: tuple = ()
     link_bytes_per_s: float = 125e6
+    memory_bytes: float = 200e6
 
     def __post_init__(self) -> None:
         self.reactor = Clock()
@@ -257,13 +258,14 @@
             heartbeat_s=1.5,
             termination_grace_s=6,
             link_bytes_per_s=self.link_bytes_per_s,
+            memory_bytes=self.memory_bytes,
             budget=BUDGET,
         )
         adapter = PlatformAdapter(
             PLATFORM_HEADER_NAMES,
             partial(decode_record, RouteCache()),
-            lambda metrics: PlatformStore(
-                host.reactor, STORE, metrics, self.connect_store(host)
+            lambda metrics, budget: PlatformStore(
+                host.reactor, STORE, metrics, budget, self.connect_store(host)
             ),
             lambda: None,
             parent_request_id,
--- a/tests/test_compression.py
+++ b/tests/test_compression.py
@@ -8,7 +8,6 @@
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
 
-from marjoramlead import compression
 from marjoramlead.compression import compress, decompress
 from marjoramlead.feeds import (
     FeedQuery,
@@ -24,17 +23,18 @@
 )
 from tests.platform_mesh import INBOUND, config, ready_mesh, route
 
+MAX_BYTES = 1_000_000
 ROUTES = [route(f'r{number}', 'safe', 'web') for number in range(300)]
 
 
 @given(st.binary())
 def test_document_is_restored(document):
-    assert decompress(compress(document)).ok == document
+    assert decompress(compress(document), MAX_BYTES).ok == document
 
 
 @given(st.binary(max_size=40))
 def test_other_bytes_are_refused_or_complete(raw):
-    result = decompress(raw)
+    result = decompress(raw, MAX_BYTES)
     restored = zlib.decompressobj().decompress
     assert result.is_error() or result.ok == restored(raw)
 
@@ -42,13 +42,13 @@
 @pytest.mark.parametrize('kept', [0, 1, 20, -1])
 def test_truncated_document_is_refused(kept):
     compressed = compress(bytes(range(256)) * 10)
-    assert decompress(compressed[:kept]).is_error()
+    assert decompress(compressed[:kept], MAX_BYTES).is_error()
 
 
-def test_document_that_expands_beyond_the_maximum_is_refused(monkeypatch):
-    monkeypatch.setattr(compression, 'MAX_DOCUMENT_BYTES', 1000)
-    assert decompress(compress(b'x' * 1000)).is_ok()
-    assert decompress(compress(b'x' * 1001)).is_error()
+def test_document_that_expands_beyond_the_maximum_is_refused():
+    assert decompress(compress(b'x' * 1000), 1000).is_ok()
+    assert decompress(compress(b'x' * 1001), 1000).is_error()
+    assert decompress(compress(b'x' * 1001), 0).is_error()
 
 
 def read_records(headers):
@@ -85,6 +85,6 @@
 def test_reader_that_asks_for_it_gets_a_compressed_document():
     reply = read_records([(b'Accept-Encoding', b'deflate')])
     assert header_value(reply.headers, b'content-encoding') == 'deflate'
-    document = decompress(reply.body).ok
+    document = decompress(reply.body, MAX_BYTES).ok
     assert table_in(document) == [config(2, routes=ROUTES)]
     assert len(reply.body) < len(document) / 4
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -7,6 +7,7 @@
 from twisted.web.http_headers import Headers
 
 from marjoramlead.http_server import make_site
+from marjoramlead.memory_budget import unlimited_budget
 from marjoramlead.metrics import Metrics
 from marjoramlead.platform.store import PlatformStore
 from marjoramlead.problems import BufferedResponse
@@ -28,7 +29,9 @@
     mesh = PlatformMesh()
     for number in range(3):
         put(mesh.store, f'op/evacuate/{number}', {})
-    return mesh, PlatformStore(mesh.reactor, STORE, Metrics(), mesh.connect)
+    return mesh, PlatformStore(
+        mesh.reactor, STORE, Metrics(), unlimited_budget(), mesh.connect
+    )
 
 
 def answer_of(mesh, call):
