Differences between texts take time in proportion to them

Cause: difflib.SequenceMatcher compares equal rows in a time that grows with the square of their number, in the event loop, for records of any writer.

Change: what both texts share at their ends is compared first; equal rows are looked up by their text, and a row continues the copy of the row before it; changed rows are paired by a cell that is unique in both. Texts of more than 10,000 rows are compared by their ends only. The caches of comparisons, which keep the texts, are smaller.

Kin: each deletion of a record looked at all records (tombstones are now kept by themselves), and a path of many slashes was looked up once for each of them (no further than the longest prefix of the table).

--- a/marjoramlead/deltas.py
+++ b/marjoramlead/deltas.py
@@ -4,14 +4,17 @@
 hundred, or in one column that all rows gain or lose. Nodes send each other the
 difference to a version that the receiver has, because whole texts would fill a
 link of a few Mbit/s.
+
+Texts are those of any writer, so the time of all that is done here grows in
+proportion to their length: equal rows are looked up, not searched for, and
+texts of more than ``MAX_ROWS`` rows are compared by their ends only.
 """
 
 import re
 from collections import Counter
-from collections.abc import Container, Iterable, Iterator, Sequence
-from difflib import SequenceMatcher
+from collections.abc import Iterable, Iterator, Sequence
 from functools import lru_cache
-from itertools import chain
+from itertools import accumulate, chain
 from typing import Final, NamedTuple
 
 __all__ = ('Edit', 'apply_delta', 'common_bytes', 'encode_delta')
@@ -22,10 +25,13 @@
 # Shorter parts of a row are inserted, because an encoded edit takes about as
 # many bytes.
 MIN_COPIED_BYTES: Final = 24
-# Several followers usually need the same delta at the same time.
-CACHED_DELTAS: Final = 4
+# Larger numbers of rows take the loop too long, at some microseconds a row.
+MAX_ROWS: Final = 10_000
+# Several followers usually need the same delta at the same time. Both caches
+# keep the texts that they compare.
+CACHED_DELTAS: Final = 2
 # A delta is chosen among those to the versions that a receiver has.
-CACHED_COMPARISONS: Final = 32
+CACHED_COMPARISONS: Final = 8
 
 
 class Edit(NamedTuple):
@@ -44,11 +50,17 @@
     inserted: bytes
 
 
-class _Row(NamedTuple):
-    """A row, and the offset at which it begins."""
+class _Rows(NamedTuple):
+    """A part of a text, split into rows.
 
-    text: bytes
-    offset: int
+    Attributes
+    ----------
+    offsets
+        Offset in the text at which each row begins.
+    """
+
+    texts: list[bytes]
+    offsets: list[int]
 
 
 @lru_cache(maxsize=CACHED_DELTAS)
@@ -57,25 +69,29 @@
     edits: list[Edit] = []
     copied = range(0)
     done = 0
-    for in_base, in_target in _common_ranges(base, target):
-        inserted = target[done : in_target.start]
-        if in_base and not inserted and in_base.start == copied.stop:
-            copied = range(copied.start, in_base.stop)
-            done = in_target.stop
-            continue
-        if copied or inserted:
+    for in_base, in_target in _join_ranges(_common_ranges(base, target)):
+        if copied or in_target.start > done:
+            inserted = target[done : in_target.start]
             edits.append(Edit(copied.start, copied.stop, inserted))
         copied, done = in_base, in_target.stop
+    if copied or done < len(target):
+        edits.append(Edit(copied.start, copied.stop, target[done:]))
     return tuple(edits)
 
 
 @lru_cache(maxsize=CACHED_COMPARISONS)
 def common_bytes(base: bytes, target: bytes) -> int:
-    """Return the size of the rows that two texts have in common."""
-    common_rows = set(ROW_BOUNDARY.split(base)).intersection(
-        ROW_BOUNDARY.split(target)
-    )
-    return sum(map(len, common_rows))
+    """Return about how many bytes two texts have in common."""
+    ends = _common_ends(base, target)
+    middles = [
+        text[ends.head : len(text) - ends.tail] for text in (base, target)
+    ]
+    common = ends.head + ends.tail
+    if max(map(_count_boundaries, middles)) >= MAX_ROWS:
+        return common
+    base_rows, target_rows = map(ROW_BOUNDARY.split, middles)
+    common_rows = set(base_rows).intersection(target_rows)
+    return common + sum(map(len, common_rows))
 
 
 def apply_delta(base: bytes, edits: Sequence[Edit]) -> bytes:
@@ -94,66 +110,122 @@
     )
 
 
+class _Ends(NamedTuple):
+    """Lengths of the beginning and of the end that two texts share."""
+
+    head: int
+    tail: int
+
+
+def _join_ranges(
+    ranges: Iterable[tuple[range, range]],
+) -> Iterator[tuple[range, range]]:
+    """Join ranges that follow each other in both texts; drop short ones."""
+    base_run, target_run = range(0), range(0)
+    for in_base, in_target in ranges:
+        ends_of_run = base_run.stop, target_run.stop
+        if ends_of_run == (in_base.start, in_target.start):
+            base_run = range(base_run.start, in_base.stop)
+            target_run = range(target_run.start, in_target.stop)
+            continue
+        if len(base_run) >= MIN_COPIED_BYTES:
+            yield base_run, target_run
+        base_run, target_run = in_base, in_target
+    if len(base_run) >= MIN_COPIED_BYTES:
+        yield base_run, target_run
+
+
 def _common_ranges(base: bytes, target: bytes) -> Iterator[tuple[range, range]]:
-    """Yield the ranges of equal bytes in both texts, in order.
+    """Yield ranges of equal bytes in both texts, in the order of the target.
 
-    The last ranges are empty and stand at the end of the texts.
+    They may be short, and may follow each other in both texts.
     """
-    base_rows = ROW_BOUNDARY.split(base)
-    target_rows = ROW_BOUNDARY.split(target)
-    base_offsets, target_offsets = _offsets(base_rows), _offsets(target_rows)
-    for in_base, in_target in _pair_rows(base_rows, target_rows):
-        yield from _common_ends(
-            _Row(base_rows[in_base], base_offsets[in_base]),
-            _Row(target_rows[in_target], target_offsets[in_target]),
+    ends = _common_ends(base, target)
+    yield range(ends.head), range(ends.head)
+    yield from _match_middles(base, target, ends)
+    yield _tail_of(base, ends.tail), _tail_of(target, ends.tail)
+
+
+def _match_middles(
+    base: bytes, target: bytes, ends: '_Ends'
+) -> Iterator[tuple[range, range]]:
+    """Yield equal ranges between the ends that both texts share."""
+    middles = [
+        text[ends.head : len(text) - ends.tail] for text in (base, target)
+    ]
+    if max(map(_count_boundaries, middles)) < MAX_ROWS:
+        base_rows, target_rows = (
+            _split_rows(middle, ends.head) for middle in middles
         )
-    yield _empty_at(len(base)), _empty_at(len(target))
+        yield from _match_rows(base_rows, target_rows)
 
 
-def _empty_at(offset: int) -> range:
-    return range(offset, offset)
+def _tail_of(text: bytes, length: int) -> range:
+    return range(len(text) - length, len(text))
 
 
-def _pair_rows(
-    base_rows: Sequence[bytes], target_rows: Sequence[bytes]
-) -> Iterator[tuple[int, int]]:
-    """Yield the indices of rows that are equal, or versions of each other."""
-    matcher = SequenceMatcher(None, base_rows, target_rows, autojunk=False)
-    base_end, target_end = 0, 0
-    for in_base, in_target, size in matcher.get_matching_blocks():
-        for base_index, target_index in _pair_changed(
-            base_rows[base_end:in_base], target_rows[target_end:in_target]
-        ):
-            yield base_end + base_index, target_end + target_index
-        base_end, target_end = in_base + size, in_target + size
-        yield from zip(
-            range(in_base, base_end), range(in_target, target_end), strict=True
-        )
+def _count_boundaries(text: bytes) -> int:
+    return text.count(b'],')
+
+
+def _split_rows(text: bytes, offset: int) -> _Rows:
+    texts = ROW_BOUNDARY.split(text)
+    offsets = accumulate(map(len, texts), initial=offset)
+    return _Rows(texts, list(offsets)[:-1])
 
 
-def _pair_changed(
+def _match_rows(base: _Rows, target: _Rows) -> Iterator[tuple[range, range]]:
+    """Yield equal ranges of rows that are equal, or versions of each other.
+
+    A row continues the copy of the row before it if it can, since equal rows
+    may occur in several places.
+    """
+    index_by_row = {row: index for index, row in enumerate(base.texts)}
+    changed = _match_changed(base.texts, target.texts)
+    following = 0
+    for number, row in enumerate(target.texts):
+        if base.texts[following : following + 1] == [row]:
+            index: int | None = following
+        else:
+            index = index_by_row.get(row, changed.get(number))
+        if index is not None:
+            following = index + 1
+            yield from _equal_ranges(base, index, target, number)
+
+
+def _match_changed(
     base_rows: Sequence[bytes], target_rows: Sequence[bytes]
-) -> Iterator[tuple[int, int]]:
-    """Yield the indices of changed rows that are versions of each other.
+) -> dict[int, int]:
+    """Return the indices of base rows by those of their changed versions.
 
-    They share a cell that no other row has. All rows change when a column is
-    added or removed.
+    Versions of a row share a cell that no other row has. All rows change when
+    a column is added or removed.
     """
-    base_cells = [row.split(CELL_BOUNDARY) for row in base_rows]
-    target_cells = [row.split(CELL_BOUNDARY) for row in target_rows]
-    shared = _unique_cells(base_cells) & _unique_cells(target_cells)
-    matcher = SequenceMatcher(
-        None,
-        [_first_shared(cells, shared) for cells in base_cells],
-        [_first_shared(cells, shared) for cells in target_cells],
-        autojunk=False,
-    )
-    for in_base, in_target, size in matcher.get_matching_blocks():
-        yield from zip(
-            range(in_base, in_base + size),
-            range(in_target, in_target + size),
-            strict=True,
-        )
+    base_cells = _cells_without(base_rows, frozenset(target_rows))
+    target_cells = _cells_without(target_rows, frozenset(base_rows))
+    unique = _unique_cells(base_cells.values())
+    unique.intersection_update(_unique_cells(target_cells.values()))
+    index_by_cell = {
+        cell: index
+        for index, cells in base_cells.items()
+        for cell in unique.intersection(cells)
+    }
+    return {
+        number: index_by_cell[cell]
+        for number, cells in target_cells.items()
+        for cell in [each for each in cells if each in unique][:1]
+    }
+
+
+def _cells_without(
+    rows: Sequence[bytes], others: frozenset[bytes]
+) -> dict[int, list[bytes]]:
+    """Return the cells of the rows that are not among others, by index."""
+    return {
+        index: row.split(CELL_BOUNDARY)
+        for index, row in enumerate(rows)
+        if row not in others
+    }
 
 
 def _unique_cells(rows: Iterable[Iterable[bytes]]) -> set[bytes]:
@@ -162,33 +234,36 @@
     return {cell for cell, count in counts.items() if count == 1}
 
 
-def _first_shared(cells: Sequence[bytes], shared: Container[bytes]) -> bytes:
-    """Return the first cell that identifies a row, or else its first cell."""
-    return next((cell for cell in cells if cell in shared), cells[0])
+def _equal_ranges(
+    base: _Rows, index: int, target: _Rows, number: int
+) -> Iterator[tuple[range, range]]:
+    """Yield the ranges in which a row of each text begin and end alike."""
+    in_base = _range_of(base, index)
+    in_target = _range_of(target, number)
+    ends = _common_ends(base.texts[index], target.texts[number])
+    yield in_base[: ends.head], in_target[: ends.head]
+    if ends.tail:
+        yield in_base[-ends.tail :], in_target[-ends.tail :]
 
 
-def _common_ends(base: _Row, target: _Row) -> Iterator[tuple[range, range]]:
-    """Yield the ranges in which two rows begin and end alike."""
-    if base.text == target.text:
-        length = len(base.text)
-        yield _tail_of(base, length), _tail_of(target, length)
-        return
-    head = _common_length(base.text, target.text)
-    if head >= MIN_COPIED_BYTES:
-        yield _head_of(base, head), _head_of(target, head)
-    ends = base.text[head:], target.text[head:]
-    tail = _common_length(*(bytes(reversed(each)) for each in ends))
-    if tail >= MIN_COPIED_BYTES:
-        yield _tail_of(base, tail), _tail_of(target, tail)
+def _range_of(rows: _Rows, index: int) -> range:
+    offset = rows.offsets[index]
+    return range(offset, offset + len(rows.texts[index]))
 
 
-def _head_of(row: _Row, length: int) -> range:
-    return range(row.offset, row.offset + length)
+def _common_ends(left: bytes, right: bytes) -> _Ends:
+    """Return how much two texts share at both ends, without overlap."""
+    size = min(len(left), len(right))
+    head = _common_length(left, right)
+    rest = size - head
+    tail = _common_length(_reversed_end(left, rest), _reversed_end(right, rest))
+    return _Ends(head, tail)
 
 
-def _tail_of(row: _Row, length: int) -> range:
-    end = row.offset + len(row.text)
-    return range(end - length, end)
+def _reversed_end(text: bytes, length: int) -> bytes:
+    reversed_end = bytearray(text[len(text) - length :])
+    reversed_end.reverse()
+    return bytes(reversed_end)
 
 
 def _common_length(left: bytes, right: bytes) -> int:
@@ -203,11 +278,3 @@
         else:
             high = middle - 1
     return low
-
-
-def _offsets(rows: Sequence[bytes]) -> list[int]:
-    """Return the offset at which each row begins, and the total length."""
-    offsets = [0]
-    for row in rows:
-        offsets.append(offsets[-1] + len(row))
-    return offsets
--- a/marjoramlead/platform/routing.py
+++ b/marjoramlead/platform/routing.py
@@ -115,6 +115,7 @@
         routes={(route.host, route.prefix): route for route in routes},
         services={cfg.name: cfg for cfg in services},
         limits=_decode_limits(document),
+        max_prefix=max((len(route.prefix) for route in routes), default=0),
     )
 
 
--- a/marjoramlead/record_log.py
+++ b/marjoramlead/record_log.py
@@ -62,6 +62,8 @@
         Latest record of each key, including tombstones.
     replaced
         Replaced versions of each large record, the oldest first.
+    tombstones
+        Keys of the tombstones, the earliest deletion first.
     compacted
         For prefixes of keys, the revision up to which tombstones may have been
         dropped.
@@ -69,6 +71,7 @@
 
     by_key: dict[str, Record] = field(default_factory=dict)
     replaced: dict[str, list[Record]] = field(default_factory=dict)
+    tombstones: dict[str, None] = field(default_factory=dict)
     compacted: dict[str, Revision] = field(default_factory=dict)
 
 
@@ -80,7 +83,9 @@
             return False
         _keep_replaced(log, current)
     log.by_key[record.key] = record
+    log.tombstones.pop(record.key, None)
     if record.body is None:
+        log.tombstones[record.key] = None
         _prune_tombstones(log)
     return True
 
@@ -117,10 +122,9 @@
 
 def drop_older_tombstones(log: RecordLog, era: int) -> None:
     """Drop the tombstones of earlier eras, whose records need no deletion."""
-    for record in list(log.by_key.values()):
-        if record.body is None and record.revision.era < era:
-            log.by_key.pop(record.key)
-            mark_compacted(log, '', record.revision)
+    for key in list(log.tombstones):
+        if log.by_key[key].revision.era < era:
+            _drop_tombstone(log, key)
 
 
 def large_record_revisions(log: RecordLog) -> frozenset[Revision]:
@@ -168,12 +172,10 @@
 
 
 def _prune_tombstones(log: RecordLog) -> None:
-    tombstones = [
-        record for record in log.by_key.values() if record.body is None
-    ]
-    excess = len(tombstones) - MAX_TOMBSTONES
-    if excess > 0:
-        tombstones.sort(key=lambda record: record.revision)
-        for record in tombstones[:excess]:
-            log.by_key.pop(record.key)
-            mark_compacted(log, '', record.revision)
+    while len(log.tombstones) > MAX_TOMBSTONES:
+        _drop_tombstone(log, next(iter(log.tombstones)))
+
+
+def _drop_tombstone(log: RecordLog, key: str) -> None:
+    log.tombstones.pop(key)
+    mark_compacted(log, '', log.by_key.pop(key).revision)
--- a/marjoramlead/routes.py
+++ b/marjoramlead/routes.py
@@ -117,12 +117,15 @@
         Limits of each service's targets, by service name.
     limits
         Limits on clients' requests.
+    max_prefix
+        Length of the longest path prefix of a route.
     """
 
     version: int
     routes: Mapping[tuple[str, str], Route]
     services: Mapping[str, ServiceConfig]
     limits: ClientLimits
+    max_prefix: int
 
 
 def find_route(table: RoutingTable, host: str, path: str) -> Route | None:
@@ -131,7 +134,7 @@
     Prefixes begin and end with a slash, so it is enough to look up each part
     of the path that ends with a slash, from the longest to the shortest.
     """
-    end = path.rfind('/')
+    end = path.rfind('/', 0, table.max_prefix)
     while end >= 0:
         route = table.routes.get((host, path[: end + 1]))
         if route is not None:
--- a/tests/test_deltas.py
+++ b/tests/test_deltas.py
@@ -78,3 +78,13 @@
 def test_edit_outside_the_base_is_refused():
     with pytest.raises(ValueError, match='outside the base'):
         apply_delta(b'abc', [Edit(0, 4, b'')])
+
+
+def test_delta_of_one_more_equal_row_is_small():
+    rows = [[0, 0] for _row in range(2000)]
+    base = json.dumps([rows, 1]).encode()
+    target = json.dumps([[*rows, rows[0], [1, 1]], 2]).encode()
+    edits = encode_delta(base, target)
+    assert apply_delta(base, edits) == target
+    assert len(edits) <= 3
+    assert sum(len(edit.inserted) for edit in edits) < 30
--- a/tests/test_mesh_updates.py
+++ b/tests/test_mesh_updates.py
@@ -48,7 +48,7 @@
     if record.key.startswith('out/'):
         return ExcludedDataCentre(record.key[4:])
     if record.key == CONFIG:
-        return RoutingTable(int(record.body), {}, {}, ClientLimits())
+        return RoutingTable(int(record.body), {}, {}, ClientLimits(), 0)
     state, started_ms, warmup_s = record.body.decode().split()
     address = ('10.0.0.1', int(record.key[1:]))
     return TargetEntry(
