No entry that cannot be read keeps others from being applied

Cause: the decoder of entries expected three kinds of exceptions. For lists that are nested too deep it raises RecursionError, which passed through the loop over all records after their revision had been confirmed; the records behind it were applied a second later, if no further one failed.

On the commit before, with entries of 1,024 brackets, 11 of 12 requests reached the target after its report ("assert 11 == 0"), and a node that started beside them knew no target ("assert 503 == 200").

Change: an entry is left out whatever its decoder raises, and a record that cannot be applied does not stop the others. All decoders of foreign bytes expect DECODING_ERRORS. Values in messages are cut.

Kin, each with a test that failed before: a field of the configuration that is not used, an item of the store's answer, a text between nodes, addresses that are no addresses, numbers in headers (an idle timeout of 5,000 digits hid the answer that it came with; a deadline of nan; a cold time of inf), fields of log lines without JSON.

--- a/marjoramlead/client_requests.py
+++ b/marjoramlead/client_requests.py
@@ -21,7 +21,7 @@
 from marjoramlead.dispatch import Dispatcher, Request, dispatch
 from marjoramlead.events import emit
 from marjoramlead.header_names import HeaderNames
-from marjoramlead.headers import HOP_BY_HOP, is_mesh_header
+from marjoramlead.headers import HOP_BY_HOP, is_mesh_header, parse_number
 from marjoramlead.http_server import StreamRequest
 from marjoramlead.ledger import Outcome
 from marjoramlead.memory_budget import (
@@ -527,8 +527,10 @@
 
 def _client_timeout_s(req: StreamRequest, name: bytes) -> float:
     raw = _header(req, name)
-    try:
-        return float(raw) / MS_PER_SECOND if raw else DEFAULT_TIMEOUT_S
-    except ValueError:
+    if not raw:
+        return DEFAULT_TIMEOUT_S
+    timeout_s = parse_number(raw)
+    if timeout_s is None:
         emit('bad_wait', value=raw)
         return DEFAULT_TIMEOUT_S
+    return timeout_s / MS_PER_SECOND
--- a/marjoramlead/errors.py
+++ b/marjoramlead/errors.py
@@ -1,8 +1,11 @@
 """Exceptions of the package, and the error value that checks return."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+import msgspec
 
 __all__ = (
+    'DECODING_ERRORS',
     'DocumentError',
     'Fault',
     'MarjoramleadError',
@@ -12,6 +15,11 @@
 )
 
 
+# What a decoder raises for bytes of another writer. Lists or objects that are
+# nested too deep exceed the limit on recursion.
+DECODING_ERRORS: Final = (msgspec.MsgspecError, RecursionError)
+
+
 class Fault(NamedTuple):
     """An error that is returned as a value instead of being raised.
 
--- a/marjoramlead/events.py
+++ b/marjoramlead/events.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+import msgspec
 from pythonjsonlogger.msgspec import MsgspecFormatter
 
 __all__ = ('EventCounts', 'configure_event_log', 'emit')
@@ -106,7 +107,7 @@
         self._unsent = b''
 
     def emit(self, record: logging.LogRecord) -> None:
-        line = f'{self.format(record)}\n'.encode()
+        line = self._encode(record)
         if self._unsent:
             self._unsent = self._write(self._unsent)
         if self._unsent:
@@ -114,6 +115,18 @@
             return
         self._unsent = self._write(line)
 
+    def _encode(self, record: logging.LogRecord) -> bytes:
+        """Return the line of an event, without fields that have no JSON."""
+        try:
+            return f'{self.format(record)}\n'.encode()
+        except Exception as exc:  # a log line must not end what it tells of
+            unwritable = {
+                'kind': 'unwritable',
+                'of': record.getMessage(),
+                'reason': type(exc).__name__,
+            }
+            return b'%b\n' % msgspec.json.encode(unwritable)
+
     def _write(self, raw: bytes) -> bytes:
         try:
             return raw[os.write(self._descriptor, raw) :]
--- a/marjoramlead/feed_client.py
+++ b/marjoramlead/feed_client.py
@@ -124,9 +124,10 @@
     """Apply the records that another node has sent.
 
     The state counts as confirmed only if the other node knows at least as
-    much and its texts could be rebuilt. It was current when the answer was
-    made, which is no earlier than the query was sent and held. A document of
-    an earlier era of the store changes nothing.
+    much and all its texts could be rebuilt. It was current when the answer was
+    made, which is no earlier than the query was sent and held. Texts that could
+    be rebuilt are applied beside others that could not, except at the beginning
+    of an era. A document of an earlier era of the store changes nothing.
 
     Parameters
     ----------
@@ -150,14 +151,15 @@
     if not may_follow(mesh_state.revision, revision, is_complete=is_complete):
         return []
     decoded = records_from_feed(mesh_state, document)
-    if decoded.is_error():
-        emit('hop_unreadable', why=decoded.error)
+    for fault in decoded.faults:
+        emit('hop_unreadable', why=fault)
+    if decoded.faults and revision.era > mesh_state.revision.era:
         return []
-    if revision >= mesh_state.revision:
+    if revision >= mesh_state.revision and not decoded.faults:
         made_at = min(sent_at + document.get('held_s', 0), now)
         enter_era(mesh_state, feed_copied_until(document), now)
         confirm_revision(mesh_state, revision, made_at - document['age_s'], now)
-    changed = apply_records(mesh_state, decoded.ok, now)
+    changed = apply_records(mesh_state, decoded.records, now)
     for listing in document.get('listings', []):
         keys, prefix = listing['keys'], listing['prefix']
         changed.extend(remove_unlisted(mesh_state, keys, revision, now, prefix))
--- a/marjoramlead/feeds.py
+++ b/marjoramlead/feeds.py
@@ -14,7 +14,7 @@
 from expression import Error, Ok, Result
 
 from marjoramlead.deltas import Edit, apply_delta, common_bytes, encode_delta
-from marjoramlead.errors import Fault
+from marjoramlead.errors import DECODING_ERRORS, Fault
 from marjoramlead.generated.hop_types import (
     FeedDocument,
     FeedEdit,
@@ -156,7 +156,7 @@
     """Decode the response to a feed read."""
     try:
         return Ok(FEED_DECODER.decode(raw))
-    except msgspec.MsgspecError as exc:
+    except DECODING_ERRORS as exc:
         return Error(Fault('feed', str(exc)))
 
 
@@ -180,23 +180,31 @@
     return min(revision, Revision(revision.era, number))
 
 
+class FeedRecords(NamedTuple):
+    """The records of a feed, and the faults of those that are left out."""
+
+    records: list[Record]
+    faults: list[Fault]
+
+
 def records_from_feed(
     mesh_state: MeshState, document: FeedDocument
-) -> Result[list[Record], Fault]:
+) -> FeedRecords:
     """Return the records in a feed, with all deltas applied.
 
     All records that exist in an era have been listed in it, so that their
     revisions are of the same era as that of the feed.
     """
-    records: list[Record] = []
+    decoded = FeedRecords([], [])
     era = feed_revision(document).era
     for each in document['records']:
         body = _decode_body(mesh_state.records, each)
         if body.is_error():
-            return Error(body.error)
-        revision = Revision(era, each['revision'])
-        records.append(Record(each['key'], body.ok, revision))
-    return Ok(records)
+            decoded.faults.append(body.error)
+        else:
+            revision = Revision(era, each['revision'])
+            decoded.records.append(Record(each['key'], body.ok, revision))
+    return decoded
 
 
 def _encode_listings(log: RecordLog, after: Revision) -> list[FeedListing]:
@@ -268,19 +276,23 @@
 ) -> Result[bytes | None, Fault]:
     if encoded['is_deleted']:
         return Ok(None)
+    try:
+        return Ok(_rebuild_text(log, encoded))
+    except ValueError as exc:  # also for text that is not bytes
+        return Error(Fault(encoded['key'], str(exc)))
+
+
+def _rebuild_text(log: RecordLog, encoded: FeedRecord) -> bytes:
     base_number = encoded.get('base_revision')
     if base_number is None:
-        return Ok(encoded['text'].encode('latin-1'))
+        return encoded['text'].encode('latin-1')
     base_era = encoded.get('base_era', NO_REVISION.era)
     base_revision = Revision(base_era, base_number)
     base = find_version(log, encoded['key'], {base_revision})
     if base is None or base.body is None:
-        return Error(Fault(encoded['key'], f'no base {base_number}'))
+        raise ValueError(f'no base {base_number}')
     edits = [
         Edit(edit['start'], edit['stop'], edit['text'].encode('latin-1'))
         for edit in encoded.get('edits', [])
     ]
-    try:
-        return Ok(apply_delta(base.body, edits))
-    except ValueError as exc:
-        return Error(Fault(encoded['key'], str(exc)))
+    return apply_delta(base.body, edits)
--- a/marjoramlead/headers.py
+++ b/marjoramlead/headers.py
@@ -6,6 +6,7 @@
 ``header_names``.
 """
 
+from math import isfinite
 from typing import Final
 
 from twisted.web.http_headers import Headers
@@ -29,11 +30,15 @@
     'WAIT_MS',
     'first_value',
     'is_mesh_header',
+    'parse_integer',
+    'parse_number',
     'read_wait_s',
 )
 
 MESH_HEADER_PREFIX: Final = b'x-marjoram-'
 MAX_WAIT_DIGITS: Final = 12
+# Integers with more digits are not those of this protocol.
+MAX_DIGITS: Final = 18
 MS_PER_SECOND: Final = 1000
 
 CUSTOMER: Final = b'X-Marjoram-Customer'
@@ -92,3 +97,18 @@
     if not raw.isdecimal() or len(raw) > MAX_WAIT_DIGITS:
         return None
     return int(raw) / MS_PER_SECOND
+
+
+def parse_integer(raw: str) -> int | None:
+    """Return an integer from 0 on in a header; None if it is none."""
+    is_integer = raw.isascii() and raw.isdigit() and len(raw) <= MAX_DIGITS
+    return int(raw) if is_integer else None
+
+
+def parse_number(raw: str) -> float | None:
+    """Return a finite number from 0 on in a header; None if it is none."""
+    try:
+        number = float(raw)
+    except ValueError:
+        return None
+    return number if isfinite(number) and number >= 0 else None
--- a/marjoramlead/hops.py
+++ b/marjoramlead/hops.py
@@ -11,12 +11,13 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from marjoramlead.errors import Fault
+from marjoramlead.errors import DECODING_ERRORS, Fault
 from marjoramlead.generated.hop_types import (
     FateQuestion,
     HopReport,
     JobTerms,
 )
+from marjoramlead.headers import parse_integer
 from marjoramlead.ledger import LedgerMark
 from marjoramlead.revisions import NO_REVISION, Revision
 from marjoramlead.routes import RetryPolicy
@@ -155,7 +156,7 @@
     """Decode the terms of a job from its header."""
     try:
         return Ok(JOB_DECODER.decode(raw))
-    except msgspec.MsgspecError as exc:
+    except DECODING_ERRORS as exc:
         return Error(Fault('job', str(exc)))
 
 
@@ -192,7 +193,7 @@
     """Decode the report in the header of a response."""
     try:
         return Ok(REPORT_DECODER.decode(raw))
-    except msgspec.MsgspecError as exc:
+    except DECODING_ERRORS as exc:
         return Error(Fault('report', str(exc)))
 
 
@@ -231,7 +232,8 @@
 def mark_from_headers(headers: HeaderList) -> LedgerMark | None:
     """Return the mark in an acknowledgement; None if it has none."""
     run, _space, number = header_value(headers, LEDGER_HEADER).partition(' ')
-    return LedgerMark(run, int(number)) if number.isdecimal() else None
+    parsed = parse_integer(number)
+    return None if parsed is None else LedgerMark(run, parsed)
 
 
 def encode_fate_query(
@@ -259,7 +261,7 @@
     """Decode a query for the outcome of an attempt."""
     try:
         return Ok(FATE_QUERY_DECODER.decode(raw))
-    except msgspec.MsgspecError as exc:
+    except DECODING_ERRORS as exc:
         return Error(Fault('question', str(exc)))
 
 
--- a/marjoramlead/http_connection.py
+++ b/marjoramlead/http_connection.py
@@ -22,7 +22,7 @@
 from twisted.python.failure import Failure
 
 from marjoramlead.events import emit
-from marjoramlead.headers import BODY_GRANTED
+from marjoramlead.headers import BODY_GRANTED, parse_integer
 from marjoramlead.memory_budget import (
     Hold,
     MemoryBudget,
@@ -334,8 +334,8 @@
     def _on_head(self, exchange: _Exchange, event: h11.Response) -> None:
         """Give up a response at once that is longer than the budget."""
         exchange.response = event
-        length = header_value(event.headers, b'content-length')
-        if length.isdecimal() and int(length) > self._budget.capacity:
+        length = parse_integer(header_value(event.headers, b'content-length'))
+        if length is not None and length > self._budget.capacity:
             self._give_up()
 
     def _on_informational(
@@ -345,12 +345,14 @@
         is_waiting = self._parser.our_state is h11.SEND_BODY
         if event.status_code != HTTPStatus.CONTINUE or not is_waiting:
             return
-        granted = header_value(event.headers, BODY_GRANTED.lower())
+        granted = parse_integer(
+            header_value(event.headers, BODY_GRANTED.lower())
+        )
         length = len(exchange.outgoing.body)
-        if granted.isdecimal():
-            self._send_part(exchange, min(int(granted), length))
-        else:
+        if granted is None:
             self._send_body(exchange, length)
+        else:
+            self._send_part(exchange, min(granted, length))
 
     def _send_body(self, exchange: _Exchange, length: int) -> None:
         self._send_part(exchange, length)
--- a/marjoramlead/mesh_updates.py
+++ b/marjoramlead/mesh_updates.py
@@ -81,13 +81,22 @@
     changed: list[Record] = []
     for record in records:
         if put_record(mesh_state.records, record):
-            _apply_record(mesh_state, record, now)
+            _try_to_apply(mesh_state, record, now)
             changed.append(record)
     if changed:
         note_changed_targets(mesh_state)
     return changed
 
 
+def _try_to_apply(mesh_state: MeshState, record: Record, now: float) -> None:
+    """Apply a record; a failure must not keep the others from being applied."""
+    try:
+        _apply_record(mesh_state, record, now)
+    except Exception as exc:
+        emit('bug', key=record.key, error=f'{type(exc).__name__}: {exc}')
+        _remove_target(mesh_state, record.key, now)
+
+
 def remove_unlisted(
     mesh_state: MeshState,
     keys: Iterable[str],
--- a/marjoramlead/platform/decoding.py
+++ b/marjoramlead/platform/decoding.py
@@ -7,11 +7,13 @@
 its data centre.
 """
 
+from reprlib import repr as shorten
 from typing import Final, cast
 
 import msgspec
 
 from marjoramlead.address import parse_address
+from marjoramlead.errors import DECODING_ERRORS
 from marjoramlead.events import emit
 from marjoramlead.mesh_entries import (
     DecodedRecord,
@@ -42,6 +44,10 @@
 # Values of up to this size are kept as they are. The entry of a target has
 # about 250 bytes.
 MAX_ENTRY_BYTES: Final = 1024
+# More is no number of requests that one target runs.
+MAX_SLOTS: Final = 1_000_000
+# Log lines about unreadable entries are cut.
+MAX_REASON_LENGTH: Final = 200
 
 
 def decode_record(
@@ -54,13 +60,13 @@
     """
     try:
         return _decode(cache, record, now)
-    except (KeyError, TypeError, ValueError) as exc:
+    except Exception as exc:  # no entry may keep others from being applied
         emit(
             'record_refused',
             key=record.key,
             revision=record.revision.number,
             era=record.revision.era,
-            reason=f'{type(exc).__name__}: {exc}',
+            reason=f'{type(exc).__name__}: {exc}'[:MAX_REASON_LENGTH],
         )
     return None
 
@@ -77,8 +83,8 @@
         return b''
     try:
         document = msgspec.json.decode(body)
-    except (msgspec.MsgspecError, RecursionError) as exc:
-        emit('record_refused', key=key, reason=type(exc).__name__)
+    except DECODING_ERRORS as exc:
+        emit('record_refused', key=key, reason=str(exc))
         return b''
     if not isinstance(document, dict):
         return b''
@@ -100,13 +106,15 @@
 def _decode_target(record: Record, now: float) -> TargetEntry:
     document = msgspec.json.decode(cast(bytes, record.body))
     if document['State'] not in TARGET_STATES:
-        raise ValueError(f'unknown State {document["State"]!r}')
+        raise ValueError(f'unknown State {shorten(document["State"])}')
     slots, born = document['Slots'], document.get('born', 0)
     for number in (slots, born):
         if not isinstance(number, int) or isinstance(number, bool):
-            raise TypeError(f'{number!r} is not an integer')
-    if slots < 1:
-        raise ValueError(f'Slots must be at least 1, but is {slots}')
+            raise TypeError(f'{shorten(number)} is not an integer')
+    if not 1 <= slots <= MAX_SLOTS:
+        raise ValueError(
+            f'Slots is {shorten(slots)}: not from 1 to {MAX_SLOTS}'
+        )
     return TargetEntry(
         target_id=record.key.removeprefix(TARGET_PREFIX),
         service=require_text(document['Service']),
--- a/marjoramlead/platform/routing.py
+++ b/marjoramlead/platform/routing.py
@@ -6,10 +6,12 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from reprlib import repr as shorten
 from typing import Any, Final, NamedTuple, TypeVar, cast
 
 import msgspec
 
+from marjoramlead.errors import DECODING_ERRORS
 from marjoramlead.mesh_entries import RefusedRouting
 from marjoramlead.platform.fields import (
     parse_duration,
@@ -37,6 +39,7 @@
 # Attempts at a request whose route does not set MaxAttempts.
 DEFAULT_ATTEMPTS: Final = 1
 DEFAULT_PRIORITY: Final = 1
+MAX_VERSION_DIGITS: Final = 8
 # Seconds and rate of a service whose targets have no slow start.
 NO_WARMUP: Final[float] = 0
 
@@ -78,6 +81,8 @@
 OBJECT_DECODER: Final = msgspec.json.Decoder(dict[str, msgspec.Raw])
 COLUMNS_DECODER: Final = msgspec.json.Decoder(list[str])
 ROWS_DECODER: Final = msgspec.json.Decoder(list[msgspec.Raw])
+# Fields of the configuration that are used, without the routes.
+DOCUMENT_FIELDS: Final = ('Version', 'Services', 'Limits')
 # Encoded value of a field that is missing.
 NULL: Final = msgspec.Raw(b'null')
 
@@ -88,12 +93,10 @@
     """Decode a routing configuration, or tell why it is refused."""
     try:
         encoded = OBJECT_DECODER.decode(body)
-    except msgspec.MsgspecError as exc:
+        document = _decode_fields(encoded)
+    except DECODING_ERRORS as exc:
         return RefusedRouting(None, '', str(exc))
-    routes = encoded.pop('Routes', NULL)
-    document = _Row(
-        '', {name: msgspec.json.decode(raw) for name, raw in encoded.items()}
-    )
+    routes = encoded.get('Routes', NULL)
     version: int | None = None
     try:
         version = _read(document, 'Version', _parse_version)
@@ -102,6 +105,16 @@
         return RefusedRouting(version, exc.path, exc.reason)
 
 
+def _decode_fields(encoded: Mapping[str, msgspec.Raw]) -> _Row:
+    """Decode the fields that are used, but the routes; others may be any."""
+    fields = {
+        name: msgspec.json.decode(encoded[name])
+        for name in DOCUMENT_FIELDS
+        if name in encoded
+    }
+    return _Row('', fields)
+
+
 def _decode_table(
     cache: RouteCache,
     version: int,
@@ -123,20 +136,27 @@
     """Decode the routes whose rows are not those of the last version."""
     try:
         columns, rows = _split_rows(encoded)
-    except msgspec.MsgspecError as exc:
+    except DECODING_ERRORS as exc:
         raise _FieldError('Routes', str(exc)) from exc
     known = cache.by_row if cache.columns == columns else {}
     by_row: dict[bytes, Route] = {}
     for index, raw in enumerate(rows):
         row = bytes(raw)
         by_row[row] = known.get(row) or _decode_route(
-            _make_row('Routes', index, columns, msgspec.json.decode(row))
+            _make_row('Routes', index, columns, _decode_cells(index, row))
         )
     cache.columns = columns
     cache.by_row = by_row
     return list(by_row.values())
 
 
+def _decode_cells(index: int, row: bytes) -> Any:
+    try:
+        return msgspec.json.decode(row)
+    except DECODING_ERRORS as exc:
+        raise _FieldError(f'Routes.Rows[{index}]', str(exc)) from exc
+
+
 def _split_rows(encoded: msgspec.Raw) -> tuple[list[str], list[msgspec.Raw]]:
     table = OBJECT_DECODER.decode(encoded)
     columns = COLUMNS_DECODER.decode(table.get('Columns', NULL))
@@ -259,14 +279,17 @@
 
 
 def _parse_version(raw: object) -> int:
-    return int(require_text(raw), 16)
+    text = require_text(raw)
+    if len(text) > MAX_VERSION_DIGITS:
+        raise ValueError(f'{shorten(text)} is too long')
+    return int(text, 16)
 
 
 def _parse_kind(raw: object) -> RetryPolicy:
     policy = RETRY_POLICY_BY_KIND.get(require_text(raw))
     if policy is None:
         known = ', '.join(sorted(RETRY_POLICY_BY_KIND))
-        raise ValueError(f'{raw!r} is not one of {known}')
+        raise ValueError(f'{shorten(raw)} is not one of {known}')
     return policy
 
 
@@ -277,11 +300,11 @@
 
 def _require_object(raw: object) -> Mapping[str, Any]:
     if not isinstance(raw, dict):
-        raise TypeError(f'{raw!r} is not an object')
+        raise TypeError(f'{shorten(raw)} is not an object')
     return cast(Mapping[str, Any], raw)
 
 
 def _require_list(raw: object) -> list[Any]:
     if not isinstance(raw, list):
-        raise TypeError(f'{raw!r} is not a list')
+        raise TypeError(f'{shorten(raw)} is not a list')
     return raw
--- a/marjoramlead/platform/store.py
+++ b/marjoramlead/platform/store.py
@@ -3,6 +3,7 @@
 from base64 import b64decode
 from collections.abc import Mapping
 from http import HTTPStatus
+from reprlib import repr as shorten
 from typing import Any, Final, NamedTuple, TypeGuard
 from urllib.parse import urlencode
 
@@ -11,7 +12,7 @@
 
 from marjoramlead.address import Address
 from marjoramlead.clock import Clock
-from marjoramlead.errors import Fault
+from marjoramlead.errors import DECODING_ERRORS, Fault
 from marjoramlead.events import emit
 from marjoramlead.memory_budget import MemoryBudget
 from marjoramlead.metrics import Metrics, traffic_counter
@@ -53,7 +54,12 @@
     'kv-range': 'items',
     'kv-watch': 'events',
 }
-MAX_PAGES: Final = 100
+# Large values of other writers take a page each.
+MAX_PAGES: Final = 2000
+# A higher revision cannot be sent to other nodes.
+MAX_REVISION: Final = 2**63 - 1
+ANSWER_DECODER: Final = msgspec.json.Decoder(dict[str, msgspec.Raw])
+ITEMS_DECODER: Final = msgspec.json.Decoder(list[msgspec.Raw])
 # An era with more digits cannot be sent to other nodes.
 MAX_ERA_DIGITS: Final = 18
 # A watch that waits this long returns the changes made so far.
@@ -235,17 +241,23 @@
 def _decode_document(
     body: bytes, list_field: str
 ) -> Result[dict[str, Any], Fault]:
+    """Decode an answer, but not its items, each of which may be unreadable."""
     try:
-        decoded = msgspec.json.decode(body)
-    except msgspec.MsgspecError as exc:
+        encoded = ANSWER_DECODER.decode(body)
+        decoded = {
+            name: msgspec.json.decode(encoded[name])
+            for name in ('CurrentRev', 'MorePages')
+            if name in encoded
+        }
+    except DECODING_ERRORS as exc:
         return Error(Fault('unreadable', str(exc)))
-    if not isinstance(decoded, dict) or not _is_number(
-        decoded.get('CurrentRev')
-    ):
+    if not _is_number(decoded.get('CurrentRev')):
         return Error(Fault('unreadable', 'no revision in the response'))
-    if not isinstance(decoded.get(list_field), list):
+    try:
+        items = ITEMS_DECODER.decode(encoded.get(list_field, b''))
+    except DECODING_ERRORS:
         return Error(Fault('unreadable', f'no {list_field} in the response'))
-    return Ok(decoded)
+    return Ok({**decoded, list_field: items})
 
 
 def _decode_era(headers: HeaderList, known_era: int) -> int:
@@ -274,16 +286,16 @@
     return Ok(update)
 
 
-def _decode_records(items: list[object], era: int) -> list[Record]:
+def _decode_records(items: list[msgspec.Raw], era: int) -> list[Record]:
     """Decode the items of an answer; leave out those without key or revision.
 
     An item whose value cannot be read has an empty body, which names nothing
     to use.
     """
     records: list[Record] = []
-    for item in items:
-        if not _is_item(item):
-            emit('record_refused', key=None, reason=f'{item!r} is no item')
+    for raw in items:
+        item = _decode_item(raw)
+        if item is None:
             continue
         body = None if item.get('Deleted') else _decode_value(item)
         revision = Revision(era, item['Revision'])
@@ -291,6 +303,19 @@
     return records
 
 
+def _decode_item(raw: msgspec.Raw) -> dict[str, Any] | None:
+    """Return an item of an answer; None if it has no key or revision."""
+    try:
+        item = msgspec.json.decode(raw)
+    except DECODING_ERRORS as exc:
+        emit('record_refused', key=None, reason=str(exc))
+        return None
+    if _is_item(item):
+        return item
+    emit('record_refused', key=None, reason=f'{shorten(item)} is no item')
+    return None
+
+
 def _is_item(item: object) -> TypeGuard[dict[str, Any]]:
     return (
         isinstance(item, dict)
@@ -300,7 +325,9 @@
 
 
 def _is_number(raw: object) -> bool:
-    return isinstance(raw, int) and not isinstance(raw, bool)
+    if isinstance(raw, bool) or not isinstance(raw, int):
+        return False
+    return 0 <= raw <= MAX_REVISION
 
 
 def _decode_value(item: Mapping[str, Any]) -> bytes:
--- a/marjoramlead/restart_monitor.py
+++ b/marjoramlead/restart_monitor.py
@@ -9,7 +9,7 @@
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
-from marjoramlead.errors import Fault
+from marjoramlead.errors import DECODING_ERRORS, Fault
 from marjoramlead.guard import Guard, apply_current_config
 from marjoramlead.http_client import fetch
 from marjoramlead.logs import guard_log
@@ -137,7 +137,7 @@
 def _decode_report(raw: bytes) -> Result[TargetLoadReport, Fault]:
     try:
         return Ok(DECODER.decode(raw))
-    except msgspec.MsgspecError as exc:
+    except DECODING_ERRORS as exc:
         return Error(Fault('', f'load report does not decode: {exc}'))
 
 
--- a/marjoramlead/source.py
+++ b/marjoramlead/source.py
@@ -11,7 +11,7 @@
 
 from marjoramlead.agent import Listing
 from marjoramlead.clock import Clock
-from marjoramlead.errors import Fault
+from marjoramlead.errors import DECODING_ERRORS, Fault
 from marjoramlead.http_client import fetch
 from marjoramlead.versions import make_version
 
@@ -75,7 +75,7 @@
 def _decode_listing(body: bytes) -> Result[Listing, Fault]:
     try:
         listing = DECODER.decode(body)
-    except msgspec.MsgspecError as exc:
+    except DECODING_ERRORS as exc:
         return Error(Fault('', f'invalid response from the source: {exc}'))
     changed = [make_version(**each) for each in listing['documents']]
     names = frozenset(listing['names'])
--- a/marjoramlead/target_notices.py
+++ b/marjoramlead/target_notices.py
@@ -4,11 +4,11 @@
 about to stop reports that. Both hold until the target restarts.
 """
 
-from math import isfinite
 from typing import Final, NamedTuple
 
 from marjoramlead.events import emit
 from marjoramlead.header_names import HeaderNames
+from marjoramlead.headers import parse_number
 from marjoramlead.upstream import HeaderList, header_value
 
 __all__ = ('TargetNotice', 'read_notice')
@@ -43,15 +43,7 @@
     raw = header_value(headers, header_names.rate_limit)
     if not raw:
         return TargetNotice(None, is_leaving)
-    rate_limit = _parse_rate(raw)
+    rate_limit = parse_number(raw)
     if rate_limit is None:
         emit('target_notice_refused', target=target_id, limit=raw)
     return TargetNotice(rate_limit, is_leaving, rate_limit is not None)
-
-
-def _parse_rate(raw: str) -> float | None:
-    try:
-        rate = float(raw)
-    except ValueError:
-        return None
-    return rate if isfinite(rate) and rate >= 0 else None
--- a/marjoramlead/target_probe.py
+++ b/marjoramlead/target_probe.py
@@ -6,6 +6,7 @@
 
 from marjoramlead.deadlines import TimedWait
 from marjoramlead.events import emit
+from marjoramlead.headers import parse_number
 from marjoramlead.mesh_state import find_target_by_address, is_usable
 from marjoramlead.routes import ServiceConfig
 from marjoramlead.target_gate import (
@@ -144,11 +145,11 @@
         return
     cold = header_value(send_result.ok.headers, gate.header_names.cold_ms)
     now = gate.reactor.seconds()
-    try:
-        cold_left_s = float(cold or 0) / MS_PER_SECOND
-    except ValueError:
+    cold_left_ms = parse_number(cold or '0')
+    if cold_left_ms is None:
         emit('probe_unreadable', cold=cold)
         return
+    cold_left_s = cold_left_ms / MS_PER_SECOND
     apply_notice(gate, send_result.ok.headers, is_probe=True)
     was_cold = now < gate.queue.cold_until
     if cold_left_s or was_cold:
--- a/marjoramlead/upstream.py
+++ b/marjoramlead/upstream.py
@@ -13,6 +13,7 @@
 
 from marjoramlead.address import Address
 from marjoramlead.clock import Clock
+from marjoramlead.headers import parse_integer
 from marjoramlead.http_connection import (
     ConnectionFailure,
     HeaderList,
@@ -225,6 +226,7 @@
 def _idle_timeout_s(headers: HeaderList, max_timeout_s: float) -> float:
     for parameter in header_value(headers, b'keep-alive').split(','):
         name, _equals, amount = parameter.strip().partition('=')
-        if name == 'timeout' and amount.isdecimal():
-            return min(max_timeout_s, int(amount) * KEEP_ALIVE_SHARE)
+        timeout_s = parse_integer(amount)
+        if name == 'timeout' and timeout_s is not None:
+            return min(max_timeout_s, timeout_s * KEEP_ALIVE_SHARE)
     return max_timeout_s
--- a/marjoramlead/wire.py
+++ b/marjoramlead/wire.py
@@ -7,7 +7,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from marjoramlead.errors import Fault
+from marjoramlead.errors import DECODING_ERRORS, Fault
 from marjoramlead.generated.frame_types import Frame
 
 __all__ = ('MAX_FRAME_BYTES', 'decode_frame', 'encode_frame')
@@ -33,7 +33,7 @@
         return Error(Fault('', 'frame authentication failed'))
     try:
         return Ok(DECODER.decode(body))
-    except msgspec.MsgspecError as exc:
+    except DECODING_ERRORS as exc:
         return Error(Fault('', f'invalid frame: {exc}'))
 
 
