Tests of marks and of runs of equal rows that mutants showed missing

The test of an attempt that was never received opened a new connection in place of a silent one.

Change: it uses the kept connection; one more test of a restart, and one of a difference between equal rows.

--- a/tests/test_deltas.py
+++ b/tests/test_deltas.py
@@ -88,3 +88,12 @@
     assert apply_delta(base, edits) == target
     assert len(edits) <= 3
     assert sum(len(edit.inserted) for edit in edits) < 30
+
+
+def test_delta_of_equal_rows_between_changed_ones_is_small():
+    rows = [[0, 0] for _row in range(2000)]
+    base = json.dumps([['a'], *rows, ['b']]).encode()
+    target = json.dumps([['c'], *rows, rows[0], ['d']]).encode()
+    edits = encode_delta(base, target)
+    assert apply_delta(base, edits) == target
+    assert sum(len(edit.inserted) for edit in edits) < 60
--- a/tests/test_fate_after_restart.py
+++ b/tests/test_fate_after_restart.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.platform_mesh import INBOUND, PlatformMesh, route
+from tests.platform_mesh import INBOUND, PlatformMesh, ready_mesh, route
 
 LONG_ROUTE = route('long', 'unsafe', 'web', timeout='5000ms')
 
@@ -69,15 +69,25 @@
     assert {each.status for each in running} == {502}
 
 
-def test_attempt_that_a_known_run_never_received_is_offered_elsewhere():
-    mesh = make_mesh()
-    mesh.send(mesh.hosts[2], '/long/x', 5000, method=b'POST')
-    mesh.advance(1)  # the sender has received marks of the targets' nodes
-    port = mesh.hosts[0].address, INBOUND
-    mesh.net.connect_delays[port] = 0.01
-    mesh.net.sites.pop((mesh.hosts[1].address, INBOUND))
-    sent = mesh.send(mesh.hosts[2], '/long/x', 5000, method=b'POST')
-    mesh.net.silence(port)
-    mesh.advance(2)
+def test_attempt_that_a_known_run_never_received_is_offered_again():
+    mesh = ready_mesh('web', 'api')
+    mesh.send(mesh.hosts[1], '/once/x', method=b'POST')
+    mesh.advance(1)  # the sender has received a mark
+    mesh.net.silence((mesh.hosts[0].address, INBOUND))
+    sent = mesh.send(mesh.hosts[1], '/once/x', method=b'POST')
+    mesh.advance(1)
     assert sent.status == 200
     assert mesh.runs(sent.request_id) == 1
+
+
+def test_attempt_on_a_silent_connection_may_have_run_before_a_restart():
+    mesh = ready_mesh('web', 'api')
+    mesh.send(mesh.hosts[1], '/once/x', method=b'POST')
+    mesh.advance(1)
+    mesh.net.mute((mesh.hosts[0].address, INBOUND))
+    sent = mesh.send(mesh.hosts[1], '/once/x', method=b'POST')
+    mesh.advance(0.2)
+    restart(mesh, mesh.hosts[0], 0.05)
+    mesh.advance(1)
+    assert mesh.runs(sent.request_id) == 1
+    assert sent.status == 502
