The clock of the loop counts the time in which its host is suspended

Callers would see: routes by data that is older than its age says, for up to the time between two reads of the store.

Cause: the steady clock stands still while a host is suspended (DEPLOY.md). A node that goes on after that tells its followers an age of its data without that time, and they count as current.

Change: the loop's clock is CLOCK_BOOTTIME where the system has it. Timers that became due meanwhile fire when the host goes on.

--- a/marjoramlead/loop.py
+++ b/marjoramlead/loop.py
@@ -1,10 +1,18 @@
 """Install the event loop of a process."""
 
-from typing import cast
+import time
+from typing import Final, cast
 
 from marjoramlead.clock import Reactor
 
-__all__ = ('install_asyncio_reactor', 'install_reactor')
+__all__ = (
+    'count_suspended_time',
+    'install_asyncio_reactor',
+    'install_reactor',
+)
+
+# Clock that goes on while the host is suspended; only Linux has it.
+BOOT_CLOCK: Final = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 
 
 def install_asyncio_reactor() -> Reactor:
@@ -30,7 +38,22 @@
     from twisted.internet import default
 
     default.install()
-    return _installed_reactor()
+    reactor = _installed_reactor()
+    count_suspended_time(reactor)
+    return reactor
+
+
+def count_suspended_time(reactor: Reactor) -> None:
+    """Let the clock of a loop count the time in which its host is suspended.
+
+    Deadlines and ages are compared with those of other hosts, whose clocks go
+    on.
+    """
+    reactor.seconds = _boot_seconds  # type: ignore[method-assign]
+
+
+def _boot_seconds() -> float:
+    return time.clock_gettime(BOOT_CLOCK)
 
 
 def _installed_reactor() -> Reactor:
