A connection is not reused after an answer that names no request

Cause: a rejection without X-Request-Id came a second time, late, where the answer to the next request was due, and was taken for it.

Change: after an answer that does not certainly belong to its request, the connection is closed. A late copy then meets no other request.

--- a/marjoramlead/http_connection.py
+++ b/marjoramlead/http_connection.py
@@ -64,6 +64,11 @@
     """Do nothing: most senders do not follow the progress of a response."""
 
 
+def _is_always_identified(_reply: 'Reply') -> bool:
+    """Return True: only targets may answer twice."""
+    return True
+
+
 class OutgoingRequest(NamedTuple):
     """A request to send, whose body is framed by Content-Length.
 
@@ -75,6 +80,10 @@
         (``headers.BODY_GRANTED``).
     on_progress
         Called whenever bytes arrive while the response is awaited.
+    is_identified
+        Returns whether a response is certainly that to this request. After
+        another one, the connection is not reused, as a late copy could be
+        taken for the response to the next request.
     """
 
     method: bytes
@@ -83,6 +92,7 @@
     body: bytes
     expects_continue: bool = False
     on_progress: OnProgress = _ignore_progress
+    is_identified: 'Callable[[Reply], bool]' = _is_always_identified
 
 
 class Reply(NamedTuple):
@@ -376,7 +386,7 @@
             self._skip_reply(exchange)
             return
         self._end_exchange()
-        if self._is_reusable():
+        if self._is_reusable() and exchange.outgoing.is_identified(reply):
             self._parser.start_next_cycle()
             self.on_idle(self, reply)
         else:
--- a/marjoramlead/target_runs.py
+++ b/marjoramlead/target_runs.py
@@ -289,6 +289,7 @@
         job.uri,
         _target_headers(gate, job, now),
         job.body,
+        is_identified=lambda reply: _names_job(gate, job, reply),
     )
     attempt = attempt_id(job.request_id, job.attempt)
     wait = TimedWait(
@@ -304,6 +305,11 @@
     return await wait.result()
 
 
+def _names_job(gate: TargetGate, job: Job, reply: Reply) -> bool:
+    echoed = header_value(reply.headers, gate.header_names.request_id)
+    return echoed == job.request_id
+
+
 def _is_reply_to(gate: TargetGate, job: Job, reply: Reply) -> bool:
     echoed = header_value(reply.headers, gate.header_names.request_id)
     return not echoed or echoed == job.request_id
