Only an answer of the target to a probe tells its state

Cause: any answer on the connection counted as the answer to a health probe, a late copy of another one too, and one without a cold time ended the slow start.

Change: an answer with the id of a request is skipped; the state is read only from an answer that bears the id of the target and is no rejection.

--- a/marjoramlead/target_probe.py
+++ b/marjoramlead/target_probe.py
@@ -22,6 +22,7 @@
 from marjoramlead.target_queue import QueueEntry, set_cold_rate, set_rate_limit
 from marjoramlead.upstream import (
     OutgoingRequest,
+    Reply,
     SendResult,
     header_value,
     send,
@@ -123,8 +124,14 @@
         service_cfg.health_path.encode(),
         [(b'Host', host)],
         b'',
+        is_identified=lambda reply: _tells_state(gate, reply),
+    )
+    wait = TimedWait(
+        gate.reactor,
+        send(
+            gate.pool, outgoing, lambda reply: _is_reply_to_probe(gate, reply)
+        ),
     )
-    wait = TimedWait(gate.reactor, send(gate.pool, outgoing))
     wait.add_deadline(now + PROBE_TIMEOUT_S)
     gate.metrics.probes.inc()
     try:
@@ -135,6 +142,22 @@
     _on_probe_result(gate, send_result, service_cfg)
 
 
+def _is_reply_to_probe(gate: TargetGate, reply: Reply) -> bool:
+    """Return whether a reply may be that to a probe, which has no id."""
+    return not header_value(reply.headers, gate.header_names.request_id)
+
+
+def _tells_state(gate: TargetGate, reply: Reply) -> bool:
+    """Return whether a reply is from the target, and is no rejection."""
+    header_names = gate.header_names
+    if gate.target_entry is None or header_value(
+        reply.headers, header_names.not_run
+    ):
+        return False
+    target_id = header_value(reply.headers, header_names.target_id)
+    return target_id == gate.target_entry.target_id
+
+
 def _on_probe_result(
     gate: TargetGate,
     send_result: SendResult | None,
@@ -143,17 +166,21 @@
     if send_result is None or send_result.is_error():
         emit('probe_failed', address=gate.address)
         return
-    cold = header_value(send_result.ok.headers, gate.header_names.cold_ms)
+    reply = send_result.ok
+    if not _tells_state(gate, reply):
+        emit('probe_unreadable', status=reply.status)
+        return
+    cold = header_value(reply.headers, gate.header_names.cold_ms)
     now = gate.reactor.seconds()
     cold_left_ms = parse_number(cold or '0')
     if cold_left_ms is None:
         emit('probe_unreadable', cold=cold)
         return
     cold_left_s = cold_left_ms / MS_PER_SECOND
-    apply_notice(gate, send_result.ok.headers, is_probe=True)
+    apply_notice(gate, reply.headers, is_probe=True)
     was_cold = now < gate.queue.cold_until
     if cold_left_s or was_cold:
-        emit('target_cold', left_s=cold_left_s, status=send_result.ok.status)
+        emit('target_cold', left_s=cold_left_s, status=reply.status)
     gate.is_restart_suspected = False
     set_cold_rate(
         gate.queue,
