A fate query that is too long to be read denies nothing

Callers would see: a run that took place is called not run, if the id of its request has more than 4 KB.

Change: the answer to a query that cannot be read is doubt, and the bound is above what a head of the largest size can lead to.

--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -63,7 +63,8 @@
 
 __all__ = ('handle_peer_request',)
 
-MAX_QUERY_BYTES: Final = 4_096
+# An id may be as long as a head, and has up to six characters for one in JSON.
+MAX_QUERY_BYTES: Final = 131_072
 ACKNOWLEDGEMENT: Final = b'HTTP/1.1 102 Processing\r\n%b: %b\r\n\r\n'
 
 
@@ -214,7 +215,7 @@
         return Refusal(Reason.BAD_ANSWER, Verdict.MAY_HAVE_RUN, 0)
     collected = await collect_body(req.body, MAX_QUERY_BYTES)
     if isinstance(collected, Refusal):
-        return collected
+        return Refusal(collected.reason, Verdict.MAY_HAVE_RUN, 0)
     decoded_query = decode_fate_query(collected.content)
     if decoded_query.is_error():
         emit('hop_unreadable', why=decoded_query.error)
--- a/tests/test_fate_after_restart.py
+++ b/tests/test_fate_after_restart.py
@@ -1,7 +1,22 @@
 """What a restarted node says of the attempts that it has not received."""
 
 import pytest
-
+from twisted.internet.defer import Deferred
+
+from marjoramlead.hops import (
+    FATE_PATH,
+    REPORT_HEADER,
+    decode_report,
+    refusal_from_report,
+)
+from marjoramlead.peer_requests import MAX_QUERY_BYTES
+from marjoramlead.upstream import (
+    ConnectionPool,
+    OutgoingRequest,
+    header_value,
+    send,
+)
+from marjoramlead.verdict import Verdict
 from tests.platform_mesh import INBOUND, PlatformMesh, ready_mesh, route
 
 LONG_ROUTE = route('long', 'unsafe', 'web', timeout='5000ms')
@@ -91,3 +106,19 @@
     mesh.advance(1)
     assert mesh.runs(sent.request_id) == 1
     assert sent.status == 502
+
+
+def test_query_that_is_too_long_to_be_read_denies_nothing():
+    mesh = ready_mesh('web')
+    outgoing = OutgoingRequest(
+        b'POST', FATE_PATH, [(b'Host', b'node')], b' ' * 2 * MAX_QUERY_BYTES
+    )
+    pool = ConnectionPool(
+        mesh.reactor, (mesh.hosts[0].address, INBOUND), 0, mesh.connect
+    )
+    replies = []
+    Deferred.fromCoroutine(send(pool, outgoing)).addCallback(replies.append)
+    mesh.advance(0.5)
+    report = header_value(replies[0].ok.headers, REPORT_HEADER)
+    refusal = refusal_from_report(decode_report(report).ok)
+    assert refusal.verdict is Verdict.MAY_HAVE_RUN
