--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -310,9 +310,14 @@
 
     def keep_until_sent(self, hold: Hold | None) -> None:
         """Hold the memory of a response that is written but not sent."""
-        if hold is not None and self._waitingForTransport:
+        if hold is not None and self._has_unsent_bytes():
             self._unsent.append(hold)
 
+    def release_sent(self) -> None:
+        """Release the responses if the operating system has accepted all."""
+        if not self._has_unsent_bytes():
+            self._unsent.clear()
+
     def allHeadersReceived(self) -> None:
         """Cancel the timeout of the head and the keep-alive timeout."""
         self.is_used = True
@@ -353,6 +358,15 @@
             self.transport.write(HEAD_TIMEOUT_RESPONSE)
             self.loseConnection()
 
+    def _has_unsent_bytes(self) -> bool:
+        """Return whether the transport has bytes that it has not sent.
+
+        Twisted tells its producer only of more than 64 KB.
+        """
+        unsent = len(getattr(self.transport, 'dataBuffer', b''))
+        written = getattr(self.transport, '_tempDataLen', 0)
+        return bool(self._waitingForTransport or unsent or written)
+
     def _unparsed_bytes(self) -> int:
         return len(self._buffer) + sum(map(len, self._dataBuffer))
 
@@ -459,6 +473,11 @@
             self._all_closed.callback(None)
         return self._all_closed
 
+    def release_sent(self) -> None:
+        """Release the memory of responses that have been sent."""
+        for channel in self.channels:
+            channel.release_sent()
+
     def remove_channel(self, channel: '_StreamChannel') -> None:
         """Remove a connection that is closed."""
         self.channels.discard(channel)
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -185,6 +185,8 @@
         emit('settled', keys=settled_keys)
     if expired_keys or settled_keys:
         apply_mesh_changes(sidecar)
+    for listener in sidecar.listeners.values():
+        listener.site.release_sent()
     if now >= sidecar.next_probe_at:
         sidecar.next_probe_at = now + PROBE_INTERVAL_S
         probe_target(sidecar.gate)
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -7,7 +7,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.web.http_headers import Headers
 
+from marjoramlead.http_server import make_site
 from marjoramlead.memory_budget import (
     MemoryBudget,
     budget_capacity,
@@ -18,6 +22,7 @@
     set_arrived,
     set_arriving,
 )
+from marjoramlead.problems import BufferedResponse
 from tests.platform_mesh import (
     OUTBOUND,
     TARGET,
@@ -280,3 +285,30 @@
     budget = mesh.hosts[0].sidecar.budget
     assert budget.used <= budget.capacity
     assert len(mesh.net.connections) < 1100
+
+
+def test_answers_that_are_not_sent_are_held_until_they_are():
+    budget = MemoryBudget(CAPACITY * 100)
+    site = make_site(
+        lambda req: req.send_response(
+            BufferedResponse(200, Headers(), b'', filled_hold(budget, CAPACITY))
+        ),
+        Clock(),
+    )
+    channel = site.buildProtocol(None)
+    transport = StringTransport()
+    transport.dataBuffer = b'unsent'  # as Twisted's transports have it
+    channel.makeConnection(transport)
+    channel.dataReceived(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    site.release_sent()
+    assert budget.used == CAPACITY
+    transport.dataBuffer = b''
+    site.release_sent()
+    assert not budget.used
+
+
+def filled_hold(budget, size):
+    """Return a hold on some bytes."""
+    hold = open_hold(budget)
+    assert resize(hold, size)
+    return hold
