--- a/marjoramlead/deltas.py
+++ b/marjoramlead/deltas.py
@@ -5,9 +5,9 @@
 difference to a version that the receiver has, because whole texts would fill a
 link of a few Mbit/s.
 
-Texts are those of any writer, so the time of all that is done here grows in
-proportion to their length: equal rows are looked up, not searched for, and
-texts of more than ``MAX_ROWS`` rows are compared by their ends only.
+Any writer may have stored the texts, and they are compared in the event loop,
+so all steps take linear time. Equal rows are found in a dictionary; texts of more
+than ``MAX_ROWS`` rows are compared only at their ends.
 """
 
 import re
@@ -25,10 +25,10 @@
 # Shorter parts of a row are inserted, because an encoded edit takes about as
 # many bytes.
 MIN_COPIED_BYTES: Final = 24
-# Larger numbers of rows take the loop too long, at some microseconds a row.
+# Comparing the rows of larger texts would block the event loop for too long.
 MAX_ROWS: Final = 10_000
-# Several followers usually need the same delta at the same time. Both caches
-# keep the texts that they compare.
+# Several followers usually need the same delta at the same time. The caches
+# are small because they keep the compared texts in memory.
 CACHED_DELTAS: Final = 2
 # A delta is chosen among those to the versions that a receiver has.
 CACHED_COMPARISONS: Final = 8
--- a/marjoramlead/events.py
+++ b/marjoramlead/events.py
@@ -116,10 +116,10 @@
         self._unsent = self._write(line)
 
     def _encode(self, record: logging.LogRecord) -> bytes:
-        """Return the line of an event, without fields that have no JSON."""
+        """Return the line of an event, or one that says why it has none."""
         try:
             return f'{self.format(record)}\n'.encode()
-        except Exception as exc:  # a log line must not end what it tells of
+        except Exception as exc:  # logging must not fail its caller
             unwritable = {
                 'kind': 'unwritable',
                 'of': record.getMessage(),
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -253,7 +253,7 @@
     is_used
         Whether it has carried a request.
     hold
-        Its own memory, with that of what is read but not parsed yet.
+        Memory of the connection and of bytes that are not parsed yet.
     """
 
     requestFactory = StreamRequest  # type: ignore[assignment]  # noqa: WPS115  # overrides
--- a/marjoramlead/memory_budget.py
+++ b/marjoramlead/memory_budget.py
@@ -1,10 +1,10 @@
 """Bound the memory that messages take in a node at the same time.
 
-The load is many large bodies at a time, in either direction, and answers that
-do not end. Each message that arrives or waits to be sent has a hold on the
-budget for as long as its bytes are in memory. A message that does not fit is
-refused; a smaller one takes the place of the largest answer that is arriving,
-which is the most likely never to end.
+The load is many large bodies at a time, in both directions, and answers that
+do not end. Each message that arrives or waits to be sent holds a part of the
+budget while its bytes are in memory. A message that does not fit is refused. To
+make room for smaller messages, the largest arriving answer is given up, as it is
+the one most likely never to end.
 
 This module does no I/O.
 """
@@ -62,7 +62,7 @@
 
 
 def _keep() -> None:
-    """Do nothing: a message that has arrived is not given up."""
+    """Do nothing; the default for messages that are never given up."""
 
 
 @dataclass(slots=True)
--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -63,7 +63,7 @@
 
 __all__ = ('handle_peer_request',)
 
-# An id may be as long as a head, and has up to six characters for one in JSON.
+# A request id may be as long as a head, and JSON escapes a character by six.
 MAX_QUERY_BYTES: Final = 131_072
 ACKNOWLEDGEMENT: Final = b'HTTP/1.1 102 Processing\r\n%b: %b\r\n\r\n'
 
--- a/marjoramlead/platform/decoding.py
+++ b/marjoramlead/platform/decoding.py
@@ -44,9 +44,9 @@
 # Values of up to this size are kept as they are. The entry of a target has
 # about 250 bytes.
 MAX_ENTRY_BYTES: Final = 1024
-# More is no number of requests that one target runs.
+# Upper bound on the slots of a target.
 MAX_SLOTS: Final = 1_000_000
-# Log lines about unreadable entries are cut.
+# Longest reason in a log line about an unreadable entry.
 MAX_REASON_LENGTH: Final = 200
 
 
--- a/marjoramlead/platform/routing.py
+++ b/marjoramlead/platform/routing.py
@@ -106,7 +106,7 @@
 
 
 def _decode_fields(encoded: Mapping[str, msgspec.Raw]) -> _Row:
-    """Decode the fields that are used, but the routes; others may be any."""
+    """Decode the fields in use, except the routes, which have a cache."""
     fields = {
         name: msgspec.json.decode(encoded[name])
         for name in DOCUMENT_FIELDS
