--- a/marjoramlead/deltas.py
+++ b/marjoramlead/deltas.py
@@ -6,8 +6,8 @@
 link of a few Mbit/s.
 
 Any writer may have stored the texts, and they are compared in the event loop,
-so all steps take linear time. Equal rows are found in a dictionary; texts of more
-than ``MAX_ROWS`` rows are compared only at their ends.
+so all steps take linear time. Equal rows are found in a dictionary; texts of
+more than ``MAX_ROWS`` rows are compared only at their ends.
 """
 
 import re
--- a/marjoramlead/memory_budget.py
+++ b/marjoramlead/memory_budget.py
@@ -2,9 +2,9 @@
 
 The load is many large bodies at a time, in both directions, and answers that
 do not end. Each message that arrives or waits to be sent holds a part of the
-budget while its bytes are in memory. A message that does not fit is refused. To
-make room for smaller messages, the largest arriving answer is given up, as it is
-the one most likely never to end.
+budget while its bytes are in memory. A message that does not fit is refused.
+To make room for smaller messages, the largest arriving answer is given up, as
+it is the one most likely never to end.
 
 This module does no I/O.
 """
