--- a/marjoramlead/http_connection.py
+++ b/marjoramlead/http_connection.py
@@ -65,7 +65,7 @@
 
 
 def _is_always_identified(_reply: 'Reply') -> bool:
-    """Return True: only targets may answer twice."""
+    """Return True; the default for servers that answer each request once."""
     return True
 
 
@@ -101,7 +101,7 @@
     Attributes
     ----------
     hold
-        Its bytes in the node's memory budget, for as long as it is referenced.
+        Its memory in the node's budget, released with the reply.
     """
 
     status: int
--- a/marjoramlead/ledger.py
+++ b/marjoramlead/ledger.py
@@ -7,8 +7,8 @@
 
 That an attempt never arrived is only certain if this process would know of it.
 A sender therefore names the last mark of the ledger that it had received when
-it sent the attempt. Clocks do not enter into it: a query may wait for any time
-in the buffers of a node that does not run.
+it sent the attempt. Ages are not compared, because a query may wait for any
+time in the buffers of a suspended node.
 """
 
 import os
@@ -51,7 +51,7 @@
 
 
 class LedgerMark(NamedTuple):
-    """How far a ledger had come when a node sent this to another one.
+    """The position of a ledger at the time when its node sent the mark.
 
     Attributes
     ----------
@@ -116,7 +116,7 @@
 
 
 def ledger_mark(ledger: AttemptLedger) -> LedgerMark:
-    """Return how far the ledger has come."""
+    """Return the present position of the ledger."""
     return LedgerMark(ledger.run, ledger.registered)
 
 
--- a/marjoramlead/memory_budget.py
+++ b/marjoramlead/memory_budget.py
@@ -42,10 +42,12 @@
 
 @dataclass(slots=True)
 class MemoryBudget:
-    """Bytes that messages may have at the same time, and that they have.
+    """Limit on the memory of all messages of a node, and its present use.
 
     Attributes
     ----------
+    capacity, used
+        Bytes that messages may take, and bytes that they take now.
     arriving
         Holds of answers that are arriving, which may be given up.
     given_up
@@ -73,7 +75,7 @@
 
 @dataclass(slots=True, eq=False, weakref_slot=True)
 class Hold:
-    """The bytes of one message. They are released with the last reference.
+    """The memory of one message, released with the last reference to it.
 
     Attributes
     ----------
