--- /dev/null
+++ b/review/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, and a fleet of real nodes, for cases 6 to 10."""
