review: case 7, a heartbeat that a cut has held up; others renumbered

Cause: two entries of one target are ordered by the store's revision only, so that one that arrives late takes back the announcement of its stop.

Change: a script with three real nodes. It takes the place of the case of SIGHUP, which was case 10; cases 7, 8 and 9 are 8, 9 and 10 now. Nothing of the product is changed.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,55 +1,31 @@
-"""The settings change while processes start."""
+"""A version of the configuration allows longer headers."""
 
 import asyncio
-import time
-from dataclasses import dataclass, field
 from typing import Final
 
 from review.fleet.cases import (
     BROKEN,
     HELD,
+    Clients,
     Record,
     has_trouble,
     run_case,
 )
-from review.fleet.deployment import (
-    Deployment,
-    Host,
-    Route,
-    change_settings,
-    loopback,
-    wait_ready,
-)
+from review.fleet.deployment import Deployment, Host, Route, loopback
 from review.fleet.instance import Instance
 
 WORK_S: Final = 0.02
-PLAYED_S: Final = 10.0
-# The platform starts a process that has ended after this delay.
-RESTART_DELAY_S: Final = 0.3
-# The settings change this long after a start.
-CHANGE_AFTER_S: Final = 0.2
-CHANGES: Final = 6
-# Machines whose settings do not change: half of them.
-UNCHANGED: Final = (loopback(3), loopback(5))
-# Ends this soon after a start by the platform's own doing do not count.
-EXCUSED_S: Final = 1.0
-POLL_S: Final = 0.02
-READY_WAIT_S: Final = 10.0
-# The day counts 0 if the processes of a tenth of the machines, two at least,
-# end by themselves three times.
-MACHINES: Final = 2
-ENDS: Final = 3
-
-
-@dataclass
-class Machine:
-    """The process of a machine, and how often it ended by itself."""
-
-    ip: str
-    began_at: float
-    started_at: float
-    changes_left: int
-    ends: list[float] = field(default_factory=list)
+CALM_S: Final = 2.0
+# Bound ``ConfigApply``, and a second more.
+APPLIED_S: Final = 3.0
+REQUESTS: Final = 10
+OK: Final = 200
+# Limits on heads before and after, and the length of one header of the
+# clients, which is within the limit of the version in force.
+OLD_HEADER_BYTES: Final = 16_384
+NEW_HEADER_BYTES: Final = 65_536
+SHORT_HEADER_BYTES: Final = 12_000
+LONG_HEADER_BYTES: Final = 20_000
 
 
 def main() -> None:
@@ -59,8 +35,8 @@
 
 async def _play(record: Record) -> int | None:
     hosts = [
-        Host(loopback(number), 'zone-a', Instance(f'i-{number}', name, 0.02))
-        for number, name in enumerate(('front', 'front', 'orders', 'orders'), 2)
+        Host(loopback(2), 'zone-a', Instance('i-front', 'front', WORK_S)),
+        Host(loopback(3), 'zone-b', Instance('i-orders', 'orders', WORK_S)),
     ]
     deployment = Deployment(hosts)
     try:
@@ -70,54 +46,33 @@
 
 
 async def _play_on(record: Record, deployment: Deployment) -> int | None:
+    routes = [Route('book', '/book/', 'unsafe', 'orders')]
     await deployment.open()
-    await deployment.configure(1, [Route('book', '/book/', 'unsafe', 'orders')])
-    await asyncio.gather(*map(deployment.start_node, deployment.hosts))
-    now = time.monotonic()
-    changes = CHANGES if has_trouble() else 0
-    machines = [
-        Machine(ip, now, now, 0 if ip in UNCHANGED else changes)
-        for ip in deployment.hosts
-    ]
-    watching = [_watch(record, deployment, each) for each in machines]
-    await asyncio.gather(*watching)
-    for machine in machines:
-        ready = deployment.address(machine.ip, 'Ready')
-        if not await wait_ready(ready, READY_WAIT_S):  # noqa: WPS476
-            record.note(f'{machine.ip} is not ready at the end')
-    often = [each.ip for each in machines if len(each.ends) >= ENDS]
-    record.note(f'processes that ended by themselves {ENDS} times: {often}')
-    return BROKEN if len(often) >= MACHINES else HELD
-
-
-async def _watch(
-    record: Record, deployment: Deployment, machine: Machine
-) -> None:
-    """Change the settings of a machine, and restart what has ended."""
-    while time.monotonic() < machine.began_at + PLAYED_S:
-        await asyncio.sleep(POLL_S)  # noqa: WPS476
-        now = time.monotonic()
-        node = deployment.nodes[machine.ip]
-        if node.returncode is not None:
-            _note_end(record, machine, node.returncode)
-            await asyncio.sleep(RESTART_DELAY_S)  # noqa: WPS476
-            await deployment.start_node(machine.ip)  # noqa: WPS476
-            machine.started_at = time.monotonic()
-        elif machine.changes_left and (
-            now >= machine.started_at + CHANGE_AFTER_S
-        ):
-            machine.changes_left -= 1
-            machine.started_at = now
-            deployment.memory_mb += 1
-            change_settings(deployment, machine.ip)
-            record.note(f'settings of {machine.ip} have changed: SIGHUP')
-
-
-def _note_end(record: Record, machine: Machine, status: int) -> None:
-    now = time.monotonic()
-    record.note(f'the process of {machine.ip} has ended: {status}')
-    if now >= machine.began_at + EXCUSED_S:
-        machine.ends.append(now)
+    await deployment.configure(1, routes, OLD_HEADER_BYTES)
+    if not await deployment.start_nodes():
+        return None
+    await asyncio.sleep(CALM_S)
+    length = SHORT_HEADER_BYTES
+    if has_trouble():
+        length = LONG_HEADER_BYTES
+        await deployment.configure(2, routes, NEW_HEADER_BYTES)
+        record.note('version 2 is acknowledged: MaxHeaderBytes 65536')
+    clients = Clients(
+        record, 'DELETE /book/kit HTTP/1.1', 1000, {'Cookie': 'c' * length}
+    )
+    await _send_all(deployment, clients)
+    reached = deployment.hosts[loopback(3)].instance.arrivals
+    record.note(f'requests that reached the instance: {len(reached)}')
+    refused = [each for each in clients.sent if each.status != OK]
+    record.note(f'requests of {REQUESTS} without a success: {len(refused)}')
+    return BROKEN if refused else HELD
+
+
+async def _send_all(deployment: Deployment, clients: Clients) -> None:
+    await asyncio.sleep(APPLIED_S)
+    outbound = deployment.address(loopback(2), 'Outbound')
+    for _request in range(REQUESTS):
+        await clients.send(outbound)  # noqa: WPS476
 
 
 if __name__ == '__main__':
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,10 @@
-"""The settings name another address of the store."""
+"""A heartbeat that a cut has held up is written after the instance has left."""
 
 import asyncio
+import time
 from collections.abc import Sequence
-from typing import Final
+from itertools import chain, repeat
+from typing import Final, NamedTuple
 
 from review.fleet.cases import (
     BROKEN,
@@ -18,23 +20,56 @@
     Deployment,
     Host,
     Route,
-    change_settings,
     free_ports,
     loopback,
 )
 from review.fleet.instance import Instance
 
-WORK_S: Final = 0.05
-PAUSE_S: Final = 0.05
-LOAD_S: Final = 3.0
-# The store answers at both addresses for this long.
-OVERLAP_S: Final = 10.0
-# Bound ``Contact``, and some more: all machines are in touch after it.
-CONTACT_S: Final = 4.0
+WORK_S: Final = 0.1
+# Clients at each of the other two machines: more than one instance can serve.
+CLIENTS: Final = 6
+PAUSE_S: Final = 0.02
 # Bound ``Drain``.
 DRAIN_S: Final = 2.0
-# The instance serves for a while after that, and then ends.
-SERVES_ON_S: Final = 6.0
+# The machine of the instance that leaves is cut off from the store.
+CUT_AT_S: Final = 4.0
+CUT_S: Final = 5.5
+# Bound ``Contact``: from here on, that machine is in touch again.
+IN_TOUCH_AT_S: Final = CUT_AT_S + CUT_S + 3.0
+# TCP sends unacknowledged bytes again after 0.2 s, and then after twice the
+# time; this is how long after its sending each attempt is made.
+RESEND_S: Final = (0.2, 0.6, 1.4, 3.0, 6.2, 12.6)
+ENDS_AT_S: Final = 15.0
+# The store removes the entry after three heartbeats of silence.
+LAPSES_AT_S: Final = 7.9
+
+
+class Beat(NamedTuple):
+    """A heartbeat of the instance that leaves, and when it is sent.
+
+    Attributes
+    ----------
+    state
+        Empty for the removal of the entry, after three heartbeats of silence.
+    """
+
+    sent_at: float
+    sequence: int
+    state: str = 'ready'
+
+
+BEATS: Final = (
+    Beat(0.4, 1),
+    Beat(1.9, 2),
+    Beat(3.4, 3),
+    Beat(4.9, 4),
+    Beat(6.4, 5),
+    Beat(7.9, 6),
+    Beat(9.6, 7),
+    Beat(10.5, 8, 'draining'),
+    Beat(12.0, 9, 'draining'),
+    Beat(13.5, 10, 'draining'),
+)
 
 
 def main() -> None:
@@ -59,57 +94,98 @@
     record: Record, deployment: Deployment, hosts: Sequence[Host]
 ) -> int | None:
     await deployment.open()
+    own_port = free_ports(1)[0]
+    await deployment.store.open(own_port)
+    deployment.own_store_ports[hosts[-1].ip] = own_port
     await deployment.configure(1, [Route('book', '/book/', 'unsafe', 'orders')])
     if not await deployment.start_nodes():
         return None
     clients = Clients(record, 'DELETE /book/kit HTTP/1.1', 1000)
+    outbounds = [deployment.address(host.ip, 'Outbound') for host in hosts[:-1]]
     loads = start_clients(
-        clients,
-        [deployment.address(host.ip, 'Outbound') for host in hosts],
-        PAUSE_S,
+        clients, chain.from_iterable(repeat(outbounds, CLIENTS)), PAUSE_S
     )
-    drained_at = await _move_and_drain(record, deployment, hosts[-1])
+    forbidden_from = await _leave(record, deployment, hosts[-1])
     await stop_clients(clients, loads)
-    return _judge(record, hosts[-1].instance, drained_at)
+    return _judge(record, hosts[-1].instance, forbidden_from)
 
 
-async def _move_and_drain(
+async def _leave(
     record: Record, deployment: Deployment, host: Host
 ) -> float | None:
-    """Move the store, then empty an instance; return when that is known."""
-    await asyncio.sleep(LOAD_S)
+    """Beat, and leave; return from when on no request may arrive."""
+    began_at = time.monotonic()
+    cutting = asyncio.create_task(_cut(record, deployment, host))
+    drained_at: float | None = None
+    for written_at, beat in _writes():
+        await _sleep_until(began_at + written_at)  # noqa: WPS476
+        at = await _write(deployment, host, beat)  # noqa: WPS476
+        record.note(f'{beat} is written', at)
+        if beat.state == 'draining' and drained_at is None:
+            drained_at = at
+    await _sleep_until(began_at + ENDS_AT_S)
+    await cutting
+    if drained_at is None:
+        return None
+    return max(drained_at + DRAIN_S, began_at + IN_TOUCH_AT_S)
+
+
+async def _write(
+    deployment: Deployment, host: Host, beat: Beat
+) -> float | None:
+    if beat.state:
+        return await deployment.register(host, beat.state, beat.sequence)
+    key = f'servers/{host.instance.instance_id}'
+    return await deployment.store.put(key, None)
+
+
+async def _cut(record: Record, deployment: Deployment, host: Host) -> None:
+    """Cut the node beside the instance off from the store."""
+    if not has_trouble():
+        return
+    port = deployment.own_store_ports[host.ip]
+    await asyncio.sleep(CUT_AT_S)
+    deployment.store.cut_ports.add(port)
+    record.note('the machine of i-leaves is cut off from the store')
+    await asyncio.sleep(CUT_S)
+    deployment.store.cut_ports.clear()
+    record.note('the cut has healed')
+
+
+async def _sleep_until(wake_at: float) -> None:
+    await asyncio.sleep(max(0, wake_at - time.monotonic()))
+
+
+def _writes() -> list[tuple[float, Beat]]:
+    """Return the heartbeats in the order in which they reach the store."""
+    written = [(_arrival(beat.sent_at), beat) for beat in BEATS]
     if has_trouble():
-        await _move_store(record, deployment)
-    await asyncio.sleep(CONTACT_S)
-    drained_at = await deployment.register(host, 'draining')
-    record.note('i-leaves is draining: acknowledged', drained_at)
-    await asyncio.sleep(DRAIN_S + SERVES_ON_S)
-    return drained_at
-
-
-async def _move_store(record: Record, deployment: Deployment) -> None:
-    old_port = deployment.store_port
-    deployment.store_port = free_ports(1)[0]
-    await deployment.store.open(deployment.store_port)
-    for ip in deployment.hosts:
-        change_settings(deployment, ip)
-    record.note('the settings name another address of the store; SIGHUP')
-    await asyncio.sleep(OVERLAP_S)
-    deployment.store.close(old_port)
-    record.note('the store answers no longer at the old address')
+        written.append((LAPSES_AT_S, Beat(LAPSES_AT_S, 0, '')))
+    return sorted(written)
+
+
+def _arrival(sent_at: float) -> float:
+    """Return when bytes reach the store that are sent at a time."""
+    tries = [sent_at, *(sent_at + later for later in RESEND_S)]
+    if not has_trouble():
+        return sent_at
+    return next(at for at in tries if not _is_cut(at))
+
+
+def _is_cut(at: float) -> bool:
+    return CUT_AT_S <= at < CUT_AT_S + CUT_S
 
 
 def _judge(
-    record: Record, instance: Instance, drained_at: float | None
+    record: Record, instance: Instance, forbidden_from: float | None
 ) -> int | None:
-    if drained_at is None:
+    if forbidden_from is None:
         return None
+    record.note('no request may reach i-leaves from here on', forbidden_from)
     for each in instance.arrivals:
         record.note(f'{each.request_id} reaches i-leaves', each.at)
     late = [
-        arrival
-        for arrival in instance.arrivals
-        if arrival.at > drained_at + DRAIN_S
+        arrival for arrival in instance.arrivals if arrival.at > forbidden_from
     ]
     record.note(f'requests that reach i-leaves later than Drain: {len(late)}')
     return BROKEN if late else HELD
--- a/review/fleet/deployment.py
+++ b/review/fleet/deployment.py
@@ -109,6 +109,8 @@
         Ports by name, the same on all hosts.
     store_port
         Port of the store in the settings.
+    own_store_ports
+        The same for single hosts, by their address.
     memory_mb
         Memory of a node in the settings.
     nodes
@@ -120,6 +122,7 @@
         self.store = Store()
         self.ports: dict[str, int] = {}
         self.store_port = 0
+        self.own_store_ports: dict[str, int] = {}
         self.memory_mb = 150
         self.nodes: dict[str, asyncio.subprocess.Process] = {}
         self._folder = tempfile.TemporaryDirectory()
@@ -147,14 +150,16 @@
         self._folder.cleanup()
         for writer in list(self._connections):
             writer.close()
-        self.store.close_all()
+        self.store.close()
         await asyncio.sleep(POLL_S)
 
     def address(self, ip: str, name: str) -> Address:
         """Return the address of a port of a host."""
         return ip, self.ports[name]
 
-    async def register(self, host: Host, state: str = 'ready') -> float | None:
+    async def register(
+        self, host: Host, state: str = 'ready', sequence: int = 1
+    ) -> float | None:
         """Write the entry of an instance; return when it is acknowledged."""
         instance = host.instance
         entry = {
@@ -165,7 +170,7 @@
             'Slots': instance.slots,
             'State': state,
             'WarmupLeft': f'{instance.cold_left_ms()}ms',
-            'Sequence': 1,
+            'Sequence': sequence,
             'born': 1_700_000_000_000,
         }
         return await self.store.put(f'servers/{instance.instance_id}', entry)
@@ -243,6 +248,7 @@
 
     def _fields(self, ip: str) -> dict[str, Any]:
         host = self.hosts[ip]
+        store_port = self.own_store_ports.get(ip, self.store_port)
         listening = {
             name: f'{ip}:{port}'
             for name, port in self.ports.items()
@@ -254,7 +260,7 @@
             'Service': host.instance.service,
             'AppAddr': f'{ip}:{self.ports["App"]}',
             'ListenAddrs': listening,
-            'Provider': {'Address': f'127.0.0.1:{self.store_port}'},
+            'Provider': {'Address': f'127.0.0.1:{store_port}'},
             'Seeds': [],
             'Limits': {
                 'LinkMbps': 1000.0,
--- a/review/fleet/store.py
+++ b/review/fleet/store.py
@@ -14,6 +14,7 @@
 
 PAGE_ITEMS: Final = 500
 MS_PER_SECOND: Final = 1000
+HEAL_POLL_S: Final = 0.02
 
 
 class Store:
@@ -23,10 +24,13 @@
     ----------
     is_down
         Whether every call gets 503 and writes have no effect.
+    cut_ports
+        Ports that are cut off: calls there are answered after the cut.
     """
 
     def __init__(self) -> None:
         self.is_down = False
+        self.cut_ports: set[int] = set()
         self._revision = 1
         self._records: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
@@ -35,38 +39,44 @@
 
     async def open(self, port: int) -> None:
         """Serve at a further port."""
+
+        async def handle(request: Message) -> bytes:
+            await self._wait_for_heal(port)
+            answer = await self.handle(request)
+            await self._wait_for_heal(port)
+            return answer
+
         connections: Connections = set()
-        server = await serve(('127.0.0.1', port), self.handle, connections)
+        server = await serve(('127.0.0.1', port), handle, connections)
         self._servers[port] = (server, connections)
 
-    def close_all(self) -> None:
-        """Close all ports and connections."""
-        for port in list(self._servers):
-            self.close(port)
-
-    def close(self, port: int) -> None:
-        """Refuse connections at a port, and close the open ones."""
-        server, connections = self._servers.pop(port)
-        server.close()
-        for writer in list(connections):
-            writer.close()
+    def close(self, *ports: int) -> None:
+        """Refuse connections at ports, all by default; close open ones."""
+        for port in ports or list(self._servers):
+            server, connections = self._servers.pop(port)
+            server.close()
+            for writer in list(connections):
+                writer.close()
 
     async def put(self, key: str, document: object) -> float | None:
-        """Write a record; return when it is acknowledged, None if down."""
+        """Write or delete a record; return when it is acknowledged.
+
+        Without a document, the record is deleted. A store that is down returns
+        None.
+        """
         if self.is_down:
             return None
         async with self._changed:
             self._revision += 1
-            text = b64encode(json.dumps(document).encode()).decode()
-            record = {
-                'Key': key,
-                'Value': text,
-                'Revision': self._revision,
-                'CreatedRev': self._revision,
-                'Lease': 0,
-            }
-            self._records[key] = record
-            self._history.append(record)
+            event: dict[str, Any] = {'Key': key, 'Revision': self._revision}
+            if document is None:
+                self._records.pop(key, None)
+                event['Deleted'] = True
+            else:
+                text = b64encode(json.dumps(document).encode()).decode()
+                event.update(Value=text, CreatedRev=self._revision, Lease=0)
+                self._records[key] = event
+            self._history.append(event)
             self._changed.notify_all()
         return time.monotonic()
 
@@ -82,6 +92,10 @@
             return self._reply(await self._watch(query))
         return respond(HTTPStatus.NOT_FOUND, {})
 
+    async def _wait_for_heal(self, port: int) -> None:
+        while port in self.cut_ports:
+            await asyncio.sleep(HEAL_POLL_S)  # noqa: WPS476
+
     def _reply(self, found: dict[str, Any]) -> bytes:
         if self.is_down:
             return respond(HTTPStatus.SERVICE_UNAVAILABLE, {})
