Ids and URIs of requests that have ended take a bounded memory

Seen: clients that stay inside the limits, on 150 MB: 15,000 requests, each with an id of 15 KB, one after another, took a node to 321 MB. 4,000 refused requests with URIs of 15 KB took 69 MB beside the budget. At the port for nodes, 4,000 fate queries with ids of 120 KB took 526 MB in four seconds.

Cause: the ledger keeps the id of an attempt for 30 s, recent refusals and the recognition of returning clients keep ids and URIs, all by number, not by size. A query adds an attempt without a limit, and does not drop those that have expired. The size of a kept answer counts its body, not its headers.

Change: a long id or URI is kept as a digest. `max_barred_attempts` (10,000) limits what queries add; beyond it the answer is that the attempt may have run, which promises nothing. Headers count with an answer.

--- a/marjoramlead/client_limits.py
+++ b/marjoramlead/client_limits.py
@@ -1,14 +1,18 @@
 """Limits on clients that nobody controls, beyond those of the routing table."""
 
-from typing import Final, NamedTuple
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, Final, NamedTuple
 
 from marjoramlead.body_progress import MIN_BODY_BYTES_PER_S
+from marjoramlead.ledger import MAX_BARRED_ATTEMPTS
 
 __all__ = (
     'CLIENT_PORT_SHARE',
     'CONTROL_PORT_SHARE',
     'DEFAULT_LIMITS',
     'DEFAULT_MAX_FDS',
+    'MINIMA',
     'NODE_PORT_SHARE',
     'PROBE_PORT_SHARE',
     'ProcessLimits',
@@ -26,6 +30,13 @@
 NODE_PORT_SHARE: Final = 0.3
 CONTROL_PORT_SHARE: Final = 0.15
 PROBE_PORT_SHARE: Final = 0.025
+# Lowest values of the limits that settings may name.
+MINIMA: Final[Mapping[str, float]] = MappingProxyType(
+    {
+        'min_body_bytes_per_s': 0,
+        'max_barred_attempts': 0,
+    }
+)
 
 
 class ProcessLimits(NamedTuple):
@@ -37,15 +48,19 @@
         Maximum number of open connections, in and out.
     min_body_bytes_per_s
         Lowest rate of a body; 0 for no limit.
+    max_barred_attempts
+        Maximum number of attempts that are barred by queries at a time.
     """
 
     max_sockets: int
     min_body_bytes_per_s: float = MIN_BODY_BYTES_PER_S
+    max_barred_attempts: float = MAX_BARRED_ATTEMPTS
 
 
 def client_limits(
     max_fds: int = DEFAULT_MAX_FDS,
     min_body_bytes_per_s: float = MIN_BODY_BYTES_PER_S,
+    **others: float,
 ) -> ProcessLimits:
     """Return the limits of a process.
 
@@ -55,6 +70,8 @@
         Descriptors that the process may have.
     min_body_bytes_per_s
         Lowest rate of a body.
+    others
+        Further limits, by the names of their attributes.
 
     Raises
     ------
@@ -63,9 +80,14 @@
     """
     if max_fds < MIN_MAX_FDS:
         raise ValueError(f'max_fds: at least {MIN_MAX_FDS}, not {max_fds}')
-    if not min_body_bytes_per_s >= 0:
-        raise ValueError('min_body_bytes_per_s: at least 0')
-    return ProcessLimits(max_fds - FILE_FDS, min_body_bytes_per_s)
+    named: dict[str, Any] = {
+        'min_body_bytes_per_s': min_body_bytes_per_s,
+        **others,
+    }
+    for name, limit in named.items():
+        if not limit >= MINIMA[name]:
+            raise ValueError(f'{name}: at least {MINIMA[name]}, not {limit}')
+    return ProcessLimits(max_fds - FILE_FDS)._replace(**named)
 
 
 # Limits of a process whose settings do not name any.
--- a/marjoramlead/ledger.py
+++ b/marjoramlead/ledger.py
@@ -19,10 +19,13 @@
 
 from twisted.internet.defer import Deferred
 
+from marjoramlead.bounded_keys import bounded_key
+from marjoramlead.events import emit
 from marjoramlead.upstream import Reply
 from marjoramlead.verdict import Reason, Refusal, Verdict
 
 __all__ = (
+    'MAX_BARRED_ATTEMPTS',
     'AttemptLedger',
     'LedgerMark',
     'Outcome',
@@ -44,6 +47,8 @@
 # A sender that has lost its connection queries the outcome within its connect
 # timeout.
 ANSWER_RETENTION_S: Final = 3.0
+# Most attempts that are barred at a time, of which only queries are known.
+MAX_BARRED_ATTEMPTS: Final = 10_000
 RUN_ID_BYTES: Final = 4
 
 NEVER_SEEN: Final = Refusal(Reason.NEVER_SEEN, Verdict.NOT_RUN)
@@ -85,7 +90,7 @@
         Identifies the run of this process; it knows nothing of attempts that
         earlier ones have received.
     attempts
-        Attempts by id, the oldest first.
+        Attempts by id, the oldest first; by a digest of a long id.
     answer_expiries
         Ids of attempts whose answers are kept, each with the time at which
         its answer is dropped, the earliest first.
@@ -95,6 +100,12 @@
         Number of attempts registered so far, which are numbered from 1.
     forgotten
         Highest number of an attempt that has expired.
+    barred
+        Number of attempts that have never arrived and are barred.
+    max_barred
+        Maximum of these.
+    unbarred
+        Number of attempts that were not barred, because of this limit.
     """
 
     run: str
@@ -103,6 +114,9 @@
     kept_bytes: int = 0
     registered: int = 0
     forgotten: int = 0
+    barred: int = 0
+    max_barred: float = MAX_BARRED_ATTEMPTS
+    unbarred: int = 0
 
 
 def new_ledger() -> AttemptLedger:
@@ -130,9 +144,10 @@
     None if the attempt may run, else the refusal.
     """
     _drop_expired(ledger, now)
-    attempt = ledger.attempts.get(attempt_id)
+    key = bounded_key(attempt_id)
+    attempt = ledger.attempts.get(key)
     if attempt is None:
-        _add_attempt(ledger, attempt_id, now)
+        _add_attempt(ledger, key, now)
         return None
     if attempt.outcome is NEVER_SEEN:
         return Refusal(Reason.DUPLICATE, Verdict.NOT_RUN, 0)
@@ -150,7 +165,8 @@
     An attempt that was refused without running is dropped, so that its sender
     may offer it to this node again, unless its outcome was queried before.
     """
-    attempt = ledger.attempts.get(attempt_id)
+    key = bounded_key(attempt_id)
+    attempt = ledger.attempts.get(key)
     if attempt is None:
         return
     attempt.outcome = outcome
@@ -159,11 +175,11 @@
     for waiter in waiters:
         waiter.callback(outcome)
     if isinstance(outcome, Reply):
-        ledger.kept_bytes += len(outcome.body)
-        ledger.answer_expiries.append((now + ANSWER_RETENTION_S, attempt_id))
+        ledger.kept_bytes += _size(outcome)
+        ledger.answer_expiries.append((now + ANSWER_RETENTION_S, key))
         _evict_answers(ledger, now)
     elif outcome.verdict is Verdict.NOT_RUN and not waiters:
-        ledger.attempts.pop(attempt_id)
+        ledger.attempts.pop(key)
 
 
 def query_outcome(
@@ -175,7 +191,7 @@
     """Return the outcome of an attempt; bar one that has never arrived.
 
     An attempt that is not known here may have run if an earlier process may
-    have received it, or if this one may have forgotten it.
+    have received it, if this one may have forgotten it, or if it is not barred.
 
     Parameters
     ----------
@@ -195,8 +211,10 @@
     """
     bar_attempt(ledger, attempt_id, now)
     pending: Deferred[Outcome] = Deferred()
-    attempt = ledger.attempts[attempt_id]
-    if attempt.outcome is None:
+    attempt = ledger.attempts.get(bounded_key(attempt_id))
+    if attempt is None:
+        pending.callback(UNKNOWN_OUTCOME)
+    elif attempt.outcome is None:
         attempt.waiters.append(pending)
     elif attempt.outcome is NEVER_SEEN and not _would_know(ledger, mark):
         pending.callback(UNKNOWN_OUTCOME)
@@ -206,9 +224,20 @@
 
 
 def bar_attempt(ledger: AttemptLedger, attempt_id: str, now: float) -> None:
-    """Refuse an attempt if it arrives later; one that has arrived goes on."""
-    if attempt_id not in ledger.attempts:
-        _add_attempt(ledger, attempt_id, now).outcome = NEVER_SEEN
+    """Refuse an attempt if it arrives later; one that has arrived goes on.
+
+    Beyond ``max_barred`` attempts, it is not barred.
+    """
+    _drop_expired(ledger, now)
+    key = bounded_key(attempt_id)
+    if key in ledger.attempts:
+        return
+    if ledger.barred >= ledger.max_barred:
+        ledger.unbarred += 1
+        emit('attempt_not_barred', attempt=key, barred=ledger.barred)
+        return
+    ledger.barred += 1
+    _add_attempt(ledger, key, now).outcome = NEVER_SEEN
 
 
 def _would_know(ledger: AttemptLedger, mark: LedgerMark | None) -> bool:
@@ -218,35 +247,40 @@
     return mark.number >= ledger.forgotten
 
 
-def _add_attempt(
-    ledger: AttemptLedger, attempt_id: str, now: float
-) -> _Attempt:
+def _add_attempt(ledger: AttemptLedger, key: str, now: float) -> _Attempt:
     ledger.registered += 1
     attempt = _Attempt(ledger.registered, now + DEDUPLICATION_WINDOW_S)
-    ledger.attempts[attempt_id] = attempt
+    ledger.attempts[key] = attempt
     return attempt
 
 
 def _drop_expired(ledger: AttemptLedger, now: float) -> None:
     while ledger.attempts:
-        attempt_id, attempt = next(iter(ledger.attempts.items()))
+        key, attempt = next(iter(ledger.attempts.items()))
         if attempt.kept_until > now or attempt.outcome is None:
             return
-        ledger.attempts.pop(attempt_id)
+        ledger.attempts.pop(key)
+        ledger.barred -= attempt.outcome is NEVER_SEEN
         ledger.forgotten = max(ledger.forgotten, attempt.number)
 
 
+def _size(reply: Reply) -> int:
+    names = sum(len(name) for name, _raw in reply.headers)
+    values = sum(len(raw) for _name, raw in reply.headers)
+    return names + values + len(reply.body)
+
+
 def _evict_answers(ledger: AttemptLedger, now: float) -> None:
     """Drop expired answers, and the oldest beyond ``MAX_KEPT_BYTES``.
 
     A later query for such an attempt returns ``UNKNOWN_OUTCOME``.
     """
     while ledger.answer_expiries:
-        kept_until, attempt_id = ledger.answer_expiries[0]
+        kept_until, key = ledger.answer_expiries[0]
         if kept_until > now and ledger.kept_bytes <= MAX_KEPT_BYTES:
             return
         ledger.answer_expiries.popleft()
-        attempt = ledger.attempts.get(attempt_id)
+        attempt = ledger.attempts.get(key)
         if attempt is not None and isinstance(attempt.outcome, Reply):
-            ledger.kept_bytes -= len(attempt.outcome.body)
+            ledger.kept_bytes -= _size(attempt.outcome)
             attempt.outcome = UNKNOWN_OUTCOME
--- a/marjoramlead/lifecycle.py
+++ b/marjoramlead/lifecycle.py
@@ -258,6 +258,7 @@
     sidecar.budget.capacity = budget_capacity(config.memory_bytes)
     for listener in sidecar.listeners.values():
         listener.site.clients.limits = config.client_limits
+    sidecar.gate.ledger.max_barred = config.client_limits.max_barred_attempts
     sidecar.dispatcher.budget.config = config.budget
     apply_account_settings(sidecar.frontend, config)
     sidecar.gate.body_grants.link_bytes_per_s = config.link_bytes_per_s
--- a/marjoramlead/platform/settings.py
+++ b/marjoramlead/platform/settings.py
@@ -2,14 +2,18 @@
 
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Final
+from typing import Final, cast
 
 import msgspec
 
 from marjoramlead.account_checks import Revocation
 from marjoramlead.address import parse_address
-from marjoramlead.body_progress import MIN_BODY_BYTES_PER_S
-from marjoramlead.client_limits import DEFAULT_MAX_FDS, client_limits
+from marjoramlead.client_limits import (
+    DEFAULT_MAX_FDS,
+    MINIMA,
+    ProcessLimits,
+    client_limits,
+)
 from marjoramlead.errors import SettingsError
 from marjoramlead.generated.sidecar_types import SidecarSettings
 from marjoramlead.mesh_retry_budget import MeshRetryBudgetConfig
@@ -82,10 +86,7 @@
         memory_bytes=(
             settings.get('memory_mb', DEFAULT_MEMORY_MB) * BYTES_PER_MB
         ),
-        client_limits=client_limits(
-            settings.get('max_fds', DEFAULT_MAX_FDS),
-            settings.get('min_body_bytes_per_s', MIN_BODY_BYTES_PER_S),
-        ),
+        client_limits=_build_client_limits(settings),
         budget=MeshRetryBudgetConfig(
             ratio=float(bounds['RetryBudgetRatio']),
             slack=float(bounds['BudgetSlack']),
@@ -100,6 +101,15 @@
     )
 
 
+def _build_client_limits(settings: SidecarSettings) -> ProcessLimits:
+    named = {
+        name: cast(float, limit)
+        for name, limit in settings.items()
+        if name in MINIMA
+    }
+    return client_limits(settings.get('max_fds', DEFAULT_MAX_FDS), **named)
+
+
 def _build_revocation(bounds: Mapping[str, str | float | bool]) -> Revocation:
     """Return when nodes refuse keys, by bounds that may be texts or values."""
     is_strict = str(bounds.get('StrictRevocation', '')).lower() == 'true'
--- a/marjoramlead/request_origin.py
+++ b/marjoramlead/request_origin.py
@@ -13,6 +13,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import StrEnum
+from hashlib import blake2b
 from heapq import heapify, heappop, heappush
 from typing import Final, NamedTuple
 
@@ -31,6 +32,10 @@
 # deadline is the time left that the client states, counted from the arrival.
 DEADLINE_TOLERANCE_S: Final = 0.1
 
+# A longer key of a request is kept as its digest.
+MAX_KEY_BYTES: Final = 512
+DIGEST_BYTES: Final = 16
+
 # Method, host name and URI, as sent by the client.
 RequestKey = tuple[bytes, str, bytes]
 
@@ -69,7 +74,7 @@
     Attributes
     ----------
     by_key
-        Attempts by request, the latest last.
+        Attempts by request, the latest last; by a digest of a long key.
     deadlines
         Heap of the deadlines of attempts, with their requests. It may name
         requests that were dropped or refused once more.
@@ -94,6 +99,7 @@
     _forget_expired(refused, now)
     if attempt.deadline <= now:
         return
+    key = _bounded(key)
     refused.by_key[key] = attempt
     refused.by_key.move_to_end(key)
     if len(refused.by_key) > MAX_REMEMBERED:
@@ -125,7 +131,7 @@
     -------
     The first attempt, or None if the client has not been refused.
     """
-    attempt = refused.by_key.get(key)
+    attempt = refused.by_key.get(_bounded(key))
     if attempt is None or abs(attempt.deadline - deadline) > (
         DEADLINE_TOLERANCE_S
     ):
@@ -133,6 +139,17 @@
     return attempt
 
 
+def _bounded(key: RequestKey) -> RequestKey:
+    """Return a key itself if it is short, or else one with a digest."""
+    method, host, uri = key
+    if len(method) + len(host) + len(uri) <= MAX_KEY_BYTES:
+        return key
+    digest = blake2b(digest_size=DIGEST_BYTES)
+    for part in (method, host.encode(), uri):
+        digest.update(b'%d:%b' % (len(part), part))
+    return b'', '', digest.digest()
+
+
 def _forget_expired(refused: RefusedAttempts, now: float) -> None:
     while refused.deadlines and refused.deadlines[0][0] <= now:
         _deadline, key = heappop(refused.deadlines)
--- a/marjoramlead/sidecar.py
+++ b/marjoramlead/sidecar.py
@@ -147,6 +147,7 @@
         budget,
     )
     sidecar: Sidecar
+    gate.ledger.max_barred = config.client_limits.max_barred_attempts
     store_watcher = StoreWatcher(
         mesh_state,
         adapter.make_store(metrics, budget),
--- a/marjoramlead/sidecar_status.py
+++ b/marjoramlead/sidecar_status.py
@@ -10,6 +10,7 @@
 from twisted.web.http_headers import Headers
 
 from marjoramlead.account_status import account_views
+from marjoramlead.bounded_keys import bounded_key
 from marjoramlead.generated.sidecar_status_types import (
     QueueView,
     RefusedRoutingView,
@@ -73,7 +74,8 @@
     if path == '/status':
         document = status
     elif path.startswith(REFUSALS_PATH):
-        document = recent_refusals.get(path.removeprefix(REFUSALS_PATH))
+        request_id = path.removeprefix(REFUSALS_PATH)
+        document = recent_refusals.get(bounded_key(request_id))
     if document is None:
         error_body = {'error': f'{path} was not found'}
         req.send_response(json_response(HTTPStatus.NOT_FOUND, error_body))
@@ -191,6 +193,11 @@
         'Messages for which there was no memory, since the start.',
         lambda: sidecar.budget.refused + sidecar.budget.given_up,
     )
+    register(
+        'attempts_not_barred',
+        'Attempts that could not be barred by a query, since the start.',
+        lambda: sidecar.gate.ledger.unbarred,
+    )
     for name, count in LIMIT_COUNTERS.items():
         register(
             f'client_{name}',
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -317,6 +317,43 @@
             await writer.drain()
 
 
+async def ask_all(address, requests, connections=20):
+    """Send requests one after another on kept connections.
+
+    Each answer is read whole. A connection that is closed is opened again.
+    """
+    left = iter(requests)
+    clients = [ask_each(address, left) for _connection in range(connections)]
+    await asyncio.wait_for(asyncio.gather(*clients), 2 * HANG_S)
+
+
+async def ask_each(address, requests):
+    """Send the requests of an iterator that other clients use, too."""
+    writer = None
+    for raw in requests:
+        if writer is None:
+            reader, writer = await asyncio.open_connection(*address)
+        writer.write(raw)
+        try:
+            is_kept = await skip_answer(reader)
+        except (asyncio.IncompleteReadError, OSError):
+            is_kept = False
+        if not is_kept:
+            writer.transport.abort()
+            writer = None
+    if writer is not None:
+        writer.transport.abort()
+
+
+async def skip_answer(reader):
+    """Read an answer, and return whether the connection is kept."""
+    first, fields = await read_head(reader)
+    while first.split()[1].startswith('1'):
+        first, fields = await read_head(reader)
+    await reader.readexactly(int(fields.get('content-length', 0)))
+    return fields.get('connection', '').lower() != 'close'
+
+
 async def send_crowd(system, crowd, port='outbound'):
     """Send the parts of each client of a crowd at the same time.
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -100,3 +100,36 @@
     register_attempt(ledger, 'a/1', 9)
     duplicate = register_attempt(ledger, 'a/1', 10)
     assert duplicate.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_number_of_barred_attempts_is_limited():
+    ledger = AttemptLedger('run', max_barred=2)
+    verdicts = [query(ledger, name)[0].verdict for name in ('a', 'b', 'c')]
+    assert verdicts == [
+        Verdict.NOT_RUN,
+        Verdict.NOT_RUN,
+        Verdict.MAY_HAVE_RUN,
+    ]
+    assert ledger.unbarred == 1
+    assert query(ledger, 'a')[0].verdict is Verdict.NOT_RUN
+    late = 10 + DEDUPLICATION_WINDOW_S
+    register_attempt(ledger, 'd/1', late)
+    mark = ledger_mark(ledger)
+    assert query(ledger, 'e', mark, late)[0].verdict is Verdict.NOT_RUN
+
+
+def test_queries_alone_let_barred_attempts_expire():
+    ledger = AttemptLedger('run')
+    for number in range(100):
+        query(ledger, str(number), now=number)
+    assert len(ledger.attempts) <= DEDUPLICATION_WINDOW_S
+
+
+# Memory: 500 queries with ids of 120 KB took 60 MB for 30 s.
+def test_long_ids_are_told_apart_but_not_kept():
+    long = 'x' * 9_999
+    ledger = AttemptLedger('run')
+    for letter in 'ab':
+        assert register_attempt(ledger, f'{long}{letter}', 1) is None
+    assert register_attempt(ledger, f'{long}a', 1) is not None
+    assert max(map(len, ledger.attempts)) < 200
--- a/tests/test_request_origin.py
+++ b/tests/test_request_origin.py
@@ -58,3 +58,15 @@
     assert parent_request_id('9c41d07be2a35f68') == ''
     assert parent_request_id('9c41d07be2a35f68.77') == '9c41d07be2a35f68'
     assert parent_request_id('9c41.77.b') == '9c41.77'
+
+
+# Memory: 4,000 refused requests with URIs of 15 KB took 60 MB.
+def test_long_keys_are_told_apart_but_not_kept():
+    refused = RefusedAttempts()
+    first = FirstAttempt(deadline=11.2, soft_deadline=10.3, return_at=10.1)
+    key = (b'GET', 'shop.example', bytes(9_999))
+    remember_refusal(refused, key, first, NOW)
+    assert find_first_attempt(refused, key, 11.2) == first
+    longer = (b'GET', 'shop.example', bytes(10_000))
+    assert find_first_attempt(refused, longer, 11.2) is None
+    assert sum(map(len, next(iter(refused.by_key)))) < 100
