The bodies of queries at the port for nodes are in the memory budget

Seen: 1,000 clients that each send a query about an attempt, of 131,000 bytes less one, took a node with 150 MB to 188 MB.

Cause: the body of such a query was collected up to 128 KB without a hold in the budget, unlike the bodies of jobs.

Change: it is held, and a query that does not fit is answered with "may have run", which promises nothing.

--- a/marjoramlead/peer_requests.py
+++ b/marjoramlead/peer_requests.py
@@ -238,7 +238,13 @@
 async def _answer_fate_query(gate: TargetGate, req: StreamRequest) -> Outcome:
     if not isinstance(req.body, BodyStream):
         return Refusal(Reason.BAD_ANSWER, Verdict.MAY_HAVE_RUN, 0)
-    collected = await collect_body(req.body, MAX_QUERY_BYTES)
+    hold = open_hold(gate.budget)
+    length = body_length(req.body) or 0
+    if not resize_body(hold, REQUEST_BYTES + min(length, MAX_QUERY_BYTES)):
+        return Refusal(Reason.GATEWAY_FULL, Verdict.MAY_HAVE_RUN, 0)
+    collected = await collect_body(
+        req.body, MAX_QUERY_BYTES, hold=None if length else hold
+    )
     if isinstance(collected, Refusal):
         return Refusal(collected.reason, Verdict.MAY_HAVE_RUN, 0)
     decoded_query = decode_fate_query(collected.content)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -20,17 +20,20 @@
 LIMITS = Limits()
 CHUNK = b'fa00\r\n%s\r\n' % bytes(64_000)
 CHUNKED = 'Transfer-Encoding: chunked'
+FATE_PATH = '/-/marjoram/fate'
+# A read that waits until there is something new.
+FEED_PATH = '/-/marjoram/feed?after=999999&wait_ms=60000'
 HEADERS = [f'x{number:03d}-of-many: value' for number in range(480)]
 PIECE = bytes(50_000)
 # Clients that begin at the same time.
 WAVE = 50
 
 
-def with_length(count, size, sent):
+def with_length(count, size, sent, path='/up/x'):
     """Return clients that announce a body and send a part of it."""
     pieces, rest = divmod(sent, len(PIECE))
     for number in range(count):
-        head = head_of(number, f'Content-Length: {size}')
+        head = head_of(number, f'Content-Length: {size}', path=path)
         yield chain([head], repeat(PIECE, pieces), [bytes(rest)])
 
 
@@ -75,6 +78,11 @@
         chunked(20, CHUNK, 250),
     ),
 }
+# What only other nodes send, but anybody can.
+NODE_CROWDS = {
+    'queries': lambda: with_length(700, 131_000, 130_999, FATE_PATH),
+    'queries_in_chunks': lambda: chunked(700, CHUNK, 2, FATE_PATH),
+}
 PEER_CROWDS = ('with_length', 'chunked', 'tiny_chunks', 'too_large', 'heads')
 
 
@@ -114,6 +122,12 @@
     asyncio.run(play(tmp_path, CROWDS[name](), 'inbound'))
 
 
+@pytest.mark.parametrize('name', NODE_CROWDS)
+def test_crowd_of_queries_and_reads_ends_no_process(tmp_path, name):
+    limits = Limits(max_fds=4_100)
+    asyncio.run(play(tmp_path, NODE_CROWDS[name](), 'inbound', limits))
+
+
 @pytest.mark.parametrize('port', ['outbound', 'inbound'])
 def test_connections_left_open_do_not_take_all_descriptors(tmp_path, port):
     limits = Limits(max_fds=400)
