The begin of a body that nobody reads yet is in the memory budget

Seen: 700 clients at the port for nodes, each with a read that waits for changes and 150 KB of a body, took a node from 42 to 114 MB, whatever its limit. The same holds for a client's request that waits for a token of its account's quota.

Cause: a body without a consumer keeps up to 128 KB, which no hold counts.

Change: they count with the connection. If they do not fit, the connection is aborted and counted as refused.

--- a/marjoramlead/bodies.py
+++ b/marjoramlead/bodies.py
@@ -62,6 +62,8 @@
     is_started
         Whether a consumer has begun to read the body. It cannot be read a
         second time.
+    unread
+        Bytes that wait for a consumer.
     """
 
     def __init__(self, transport: Pausable, length: int | None) -> None:
@@ -69,7 +71,7 @@
         self.is_started = False
         self._transport = transport
         self._consumer: Consumer | None = None
-        self._pending = bytearray()
+        self.unread = bytearray()
         self._finished: Deferred[None] = Deferred()
         self._is_complete = False
         self._is_paused = False
@@ -92,9 +94,9 @@
     def resumeProducing(self) -> None:
         """Write the pending chunks, then resume reading from the caller."""
         self._is_paused = False
-        if self._pending:
-            pending = bytes(self._pending)
-            self._pending.clear()
+        if self.unread:
+            pending = bytes(self.unread)
+            self.unread.clear()
             if self._consumer is not None:
                 self._consumer.write(pending)
         if self._is_complete:
@@ -106,7 +108,7 @@
     def stopProducing(self) -> None:
         """Detach the consumer; the rest of the body is read and discarded."""
         self._consumer = None
-        self._pending.clear()
+        self.unread.clear()
         self._transport.resumeProducing()
 
     def feed_chunk(self, chunk: bytes) -> None:
@@ -116,13 +118,13 @@
         if self._consumer is not None and not self._is_paused:
             self._consumer.write(chunk)
             return
-        self._pending += chunk
+        self.unread += chunk
         if not self.is_reading():
             self._transport.pauseProducing()
 
     def is_reading(self) -> bool:
         """Return whether more of the body may be read from the caller."""
-        is_full = len(self._pending) > MAX_UNREAD_BYTES
+        is_full = len(self.unread) > MAX_UNREAD_BYTES
         return not (self._is_paused or is_full)
 
     def feed_eof(self) -> None:
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -397,8 +397,7 @@
         if self.site.admits_connection() and self._has_memory():
             self.start_idle_period()
         else:
-            emit('connection_refused')
-            self.site.clients.refused_connections += 1
+            self._count_refused()
             self.loseConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
@@ -582,13 +581,29 @@
         return extra * HEADER_BYTES
 
     def _unparsed_bytes(self) -> int:
-        return len(self._buffer) + sum(map(len, self._dataBuffer))
+        """Return the size of what has been read and not been taken."""
+        ahead = len(self._buffer) + sum(map(len, self._dataBuffer))
+        return self._unread_bytes() + ahead
+
+    def _unread_bytes(self) -> int:
+        body = self.requests[0].body if self.requests else None
+        return len(body.unread) if body else 0
+
+    def _count_refused(self) -> None:
+        emit('connection_refused')
+        self.site.clients.refused_connections += 1
 
     def _stop_reading(self) -> None:
-        """Refuse a head that does not fit, or wait with the next requests."""
+        """Refuse a head that does not fit, or wait with the next requests.
+
+        A connection whose body nobody reads yet is aborted.
+        """
         if self.transport.disconnecting:
             return
-        if self.requests and not self.line_mode:
+        if self._unread_bytes():
+            self._count_refused()
+            self.forceAbortClient()
+        elif self.requests and not self.line_mode:
             self.transport.pauseProducing()
         else:
             self._refuse_for_memory()
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -82,6 +82,7 @@
 NODE_CROWDS = {
     'queries': lambda: with_length(700, 131_000, 130_999, FATE_PATH),
     'queries_in_chunks': lambda: chunked(700, CHUNK, 2, FATE_PATH),
+    'reads_with_bodies': lambda: with_length(700, 200_000, 150_000, FEED_PATH),
 }
 PEER_CROWDS = ('with_length', 'chunked', 'tiny_chunks', 'too_large', 'heads')
 
