A closed connection frees what it has not sent

Cause: a connection, its protocol and its timers refer to each other, so they stay until garbage is collected, with all that the transport had not sent. The hold of these bytes ends with the connection. Twisted does not clear the buffers of a connection that is lost.

Change: they are cleared when the connection is lost, of clients and of other nodes alike; so is what was read ahead.

--- a/marjoramlead/direct_writes.py
+++ b/marjoramlead/direct_writes.py
@@ -11,7 +11,7 @@
 
 from twisted.internet.tcp import Connection
 
-__all__ = ('Writable', 'write_now')
+__all__ = ('Writable', 'discard_unsent', 'write_now')
 
 # Longer messages are left to the loop, which sends them in parts.
 MAX_DIRECT_BYTES: Final = 65_536
@@ -43,6 +43,18 @@
         transport.write(chunk[sent:])
 
 
+def discard_unsent(transport: object) -> None:
+    """Free what a closed connection has not sent.
+
+    Its transport and its protocol refer to each other, so both are kept until
+    garbage is collected.
+    """
+    if isinstance(transport, Connection):
+        transport.dataBuffer = b''
+        transport._tempDataBuffer = []
+        transport._tempDataLen = 0
+
+
 def _is_free(connection: Connection) -> bool:
     """Return whether a connection is open and has nothing to send."""
     waits = connection.dataBuffer or getattr(
--- a/marjoramlead/http_connection.py
+++ b/marjoramlead/http_connection.py
@@ -25,7 +25,7 @@
     BodySender,
     BodyTransport,
 )
-from marjoramlead.direct_writes import write_now
+from marjoramlead.direct_writes import discard_unsent, write_now
 from marjoramlead.events import emit
 from marjoramlead.headers import BODY_GRANTED, parse_integer
 from marjoramlead.http_messages import (
@@ -300,6 +300,7 @@
             self._on_end_at_close(exchange)
         self._fail(Reason.TARGET_FAILED)
         self._discard_parser()
+        discard_unsent(self.transport)
 
     def close(self) -> None:
         """Close the connection once all queued bytes are sent."""
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -45,7 +45,7 @@
     ConnectionTimers,
     HeadLimits,
 )
-from marjoramlead.direct_writes import write_now
+from marjoramlead.direct_writes import discard_unsent, write_now
 from marjoramlead.events import emit
 from marjoramlead.headers import BODY_GRANTED
 from marjoramlead.memory_budget import (
@@ -408,6 +408,10 @@
         self._unsent.clear()
         release(self.hold)
         super().connectionLost(reason)
+        self._head = b''
+        self._buffer = b''
+        self._dataBuffer = []
+        discard_unsent(self.transport)
         self.site.remove_channel(self)
 
     def dataReceived(self, chunk: bytes) -> None:
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -7,8 +7,10 @@
 import asyncio
 import json
 import os
+import re
 import socket
 import sys
+import time
 from base64 import b64encode
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
@@ -243,7 +245,7 @@
                 left -= len(chunk)
             if 'x-request-id' in fields:
                 system.received.append(length)
-            size = 1 << 20 if '/small/large' in first else 0
+            size = answer_size(first)
             send_answer(
                 writer,
                 {
@@ -254,6 +256,15 @@
                 },
                 str(length).encode() + bytes(size),
             )
+            await writer.drain()
+
+
+def answer_size(request_line):
+    """Return the number of bytes that the path of a request asks for."""
+    asked = re.search('/small/size/([0-9]+)', request_line)
+    if asked:
+        return int(asked[1])
+    return 1 << 20 if '/small/large' in request_line else 0
 
 
 def send_answer(writer, fields, body):
@@ -317,6 +328,17 @@
             await writer.drain()
 
 
+async def read_slowly(address, raw, step, pause_s, until):
+    """Read a part of an answer, and leave."""
+    with suppress(OSError, TimeoutError):
+        reader, writer = await asyncio.open_connection(*address, limit=1024)
+        writer.write(raw)
+        async with asyncio.timeout(until - time.monotonic()):
+            while await reader.read(step):
+                await asyncio.sleep(pause_s)
+    writer.transport.abort()
+
+
 async def ask_all(address, requests, connections=20):
     """Send requests one after another on kept connections.
 
