Waiting requests that are refused in turn do not call each other

Cause: a request that is refused as it starts gives back its slot, which starts the next one, within the same call.

Change: requests are started by one loop; a call of it from within only asks for one more round.

Result: the test, written before, failed as the upload that remained never got its slot; it passes now.

--- a/marjoramlead/target_gate.py
+++ b/marjoramlead/target_gate.py
@@ -119,6 +119,9 @@
         Time at which the last probe was sent.
     start_timer
         Timer for the next start at a cold target.
+    is_starting, starts_again
+        Whether waiting requests are being started, and whether they are looked
+        at once more after that.
     """
 
     address: tuple[str, int]
@@ -145,6 +148,8 @@
     has_target_responded: bool = False
     probed_at: float = 0
     start_timer: Timer | None = None
+    is_starting: bool = False
+    starts_again: bool = False
 
     def __post_init__(self) -> None:
         schedule = open_schedule(self.body_grants.link_bytes_per_s)
@@ -456,13 +461,30 @@
 
 
 def start_waiting_requests(gate: TargetGate, now: float) -> None:
-    """Start waiting requests that may run now, and refuse late ones."""
+    """Start waiting requests that may run now, and refuse late ones.
+
+    A request that ends at once calls this again. The others are then started
+    by the call that is in progress, as each would call deeper otherwise.
+    """
+    gate.starts_again = True
+    if gate.is_starting:
+        return
+    gate.is_starting = True
+    try:
+        while gate.starts_again:
+            gate.starts_again = False
+            _start_ready(gate, now)
+    finally:
+        gate.is_starting = False
+    _schedule_start(gate, now)
+
+
+def _start_ready(gate: TargetGate, now: float) -> None:
     started, dropped = start_ready(gate.queue, now)
     for entry, refusal in dropped:
         gate.waiters[entry.number].callback(refusal)
     for entry in started:
         gate.waiters[entry.number].callback(None)
-    _schedule_start(gate, now)
 
 
 def _schedule_start(gate: TargetGate, now: float) -> None:
--- a/tests/test_target_runs.py
+++ b/tests/test_target_runs.py
@@ -117,3 +117,33 @@
     assert len(gate.queue.waiting) > 3
     mesh.advance(0.15)
     assert 0 < len(gate.queue.receiving) <= 3
+
+
+# Uploads that are refused one after the other called each other: 120 of them
+# ended in a RecursionError, and a slot was never given back.
+def test_many_waiting_uploads_are_refused_without_deep_calls():
+    mesh = ready_mesh('web', 'api', slots=1)
+    gate = mesh.hosts[0].sidecar.gate
+    for number in range(20):  # the node learns how long the work takes
+        start_upload(mesh, f'known{number}')[1].callback(BODY)
+        mesh.advance(1)
+    running = mesh.send(mesh.hosts[1])
+    mesh.advance(0.01)
+    assert len(gate.queue.running) == 1
+    uploads = [
+        start_upload(mesh, f'u{number}', wait_s=600) for number in range(300)
+    ]
+    assert len(gate.queue.waiting) >= 200
+    mesh.advance(1)
+    assert running.status == 200
+    assert len(gate.queue.receiving) == 1
+    assert not gate.queue.running
+    _job, body, outcomes = next(each for each in uploads if not each[2])
+    body.callback(BODY)
+    mesh.advance(1)
+    assert outcomes[0].status == 200
+    refused = [each[2] for each in uploads if each[2] is not outcomes]
+    assert all(each[0].verdict is Verdict.NOT_RUN for each in refused)
+    sent = mesh.send(mesh.hosts[1])
+    mesh.advance(1)
+    assert sent.status == 200
