Requests that are sent ahead of their answers are read at a pace

Seen: 50 clients that each send 2,000 short requests in one write, at the port of clients, nodes or probes: an ordinary client waited 28 s, 13 s and 12 s for its answer, and the node lost the one that it follows and the store.

Cause: requests that are refused at once are all parsed and answered in the same call, up to a second for one read of one client. Taking a line from what has been read copies the rest, too: 16 KB of short lines behind 48 KB of others took some 40 ms.

Change: all connections of a port share a pace for requests that are sent ahead (`requests_ahead_per_s`, 200 by default; ten are never waited for). Heads are parsed in parts of 4 KB. A connection between two such requests is not idle: a stop still answers them. `chunk_pace` is now `read_pace`.

--- a/marjoramlead/client_limits.py
+++ b/marjoramlead/client_limits.py
@@ -6,6 +6,7 @@
 
 from marjoramlead.body_progress import MIN_BODY_BYTES_PER_S
 from marjoramlead.ledger import MAX_BARRED_ATTEMPTS
+from marjoramlead.read_pace import REQUESTS_AHEAD_PER_S
 
 __all__ = (
     'CLIENT_PORT_SHARE',
@@ -35,6 +36,7 @@
     {
         'min_body_bytes_per_s': 0,
         'max_barred_attempts': 0,
+        'requests_ahead_per_s': 1,
     }
 )
 
@@ -50,11 +52,15 @@
         Lowest rate of a body; 0 for no limit.
     max_barred_attempts
         Maximum number of attempts that are barred by queries at a time.
+    requests_ahead_per_s
+        Rate at which the connections to a port may send requests ahead of
+        answers, all together.
     """
 
     max_sockets: int
     min_body_bytes_per_s: float = MIN_BODY_BYTES_PER_S
     max_barred_attempts: float = MAX_BARRED_ATTEMPTS
+    requests_ahead_per_s: float = REQUESTS_AHEAD_PER_S
 
 
 def client_limits(
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -32,7 +32,6 @@
     has_stalled,
     is_quiet,
 )
-from marjoramlead.chunk_pace import ChunkPace, charge_chunks
 from marjoramlead.chunked_decoder import ChunkedDecoder
 from marjoramlead.client_limits import (
     CLIENT_PORT_SHARE,
@@ -57,6 +56,7 @@
     unlimited_budget,
 )
 from marjoramlead.problems import BufferedResponse
+from marjoramlead.read_pace import ReadPace, charge_chunks, charge_request
 
 __all__ = (
     'UNSENT_BODY_TIMEOUT_S',
@@ -82,6 +82,8 @@
 CONNECTION_BYTES: Final = 4_096
 # Parts of later requests, as they were read, that are kept one by one.
 MAX_UNPARSED_PARTS: Final = 16
+# Bytes of heads that are parsed at a time; taking a line copies the rest.
+HEAD_PART_BYTES: Final = 4_096
 # Headers of an ordinary request, whose memory is counted with the request, and
 # memory of each further one.
 ORDINARY_HEADERS: Final = 24
@@ -384,6 +386,8 @@
         self._head = b''
         self._unsent: list[Hold] = []
         self._chunk_timer: Timer | None = None
+        self._turn_timer: Timer | None = None
+        self._ahead = b''
         self._head_bytes = 0
 
     def connectionMade(self) -> None:
@@ -403,13 +407,15 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Remove the connection and cancel its timers."""
         self.timers.cancel()
-        if self._chunk_timer is not None and self._chunk_timer.active():
-            self._chunk_timer.cancel()
+        for timer in (self._chunk_timer, self._turn_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
         self._unsent.clear()
         release(self.hold)
         super().connectionLost(reason)
         self._head = b''
         self._buffer = b''
+        self._ahead = b''
         self._dataBuffer = []
         discard_unsent(self.transport)
         self.site.remove_channel(self)
@@ -418,7 +424,8 @@
         """Start the timeout of a head that has not arrived whole."""
         if not self.requests:
             self.totalHeadersSize = self.site.limits().header_bytes
-        super().dataReceived(chunk)
+        self._ahead += chunk
+        self._parse_ahead()
         if len(self._dataBuffer) > MAX_UNPARSED_PARTS:
             self._dataBuffer = [b''.join(self._dataBuffer)]
         if not self._hold_unparsed():
@@ -512,16 +519,23 @@
         self._head_bytes = 0
         if self.is_ending():
             self.persistent = False
+        self._ahead = b''.join([*self._dataBuffer, self._ahead])
+        self._dataBuffer = []
+        if self.persistent and (self._ahead.strip() or self._buffer.strip()):
+            self._wait_for_turn()
         super().requestDone(request)
-        has_next = bool(self.requests) or self._has_part_of_head()
-        if self.persistent and not has_next:
-            self.start_idle_period()
+        if self.persistent:
+            self._await_next_request()
 
     def start_idle_period(self) -> None:
         """Start the keep-alive timeout."""
         self.site.idle[self] = None
         self.timers.start_idle_period()
 
+    def is_unused(self) -> bool:
+        """Return whether no request is in progress or waits for its turn."""
+        return not (self.requests or self.paused)
+
     def is_reading(self) -> bool:
         """Return whether small chunks do not keep the connection waiting."""
         return self._chunk_timer is None or not self._chunk_timer.active()
@@ -540,7 +554,8 @@
 
     def has_next_request(self) -> bool:
         """Return whether a part of a later request has been read."""
-        return any(chunk.strip() for chunk in self._dataBuffer)
+        parts = (*self._dataBuffer, self._buffer, self._ahead)
+        return any(part.strip() for part in parts)
 
     def has_unsent_bytes(self) -> bool:
         """Return whether the transport has bytes that it has not sent.
@@ -566,6 +581,45 @@
             )
         return is_valid
 
+    def _parse_ahead(self) -> None:
+        """Parse what has been read, up to the end of a request."""
+        has_more = not self.paused
+        while has_more:
+            size = HEAD_PART_BYTES if self.line_mode else len(self._ahead)
+            part = self._ahead[:size]
+            self._ahead = self._ahead[size:]
+            HTTPChannel.dataReceived(self, part)
+            is_stopped = self.paused or self.transport.disconnecting
+            has_more = bool(self._ahead) and not is_stopped
+
+    def _wait_for_turn(self) -> None:
+        """Parse the next request after those of other connections."""
+        clients = self.site.clients
+        now = self.site.clock.seconds()
+        read_at = charge_request(
+            clients.ahead, clients.limits.requests_ahead_per_s, now
+        )
+        if read_at is not None:
+            self.paused = True
+            self._turn_timer = self.site.clock.callLater(
+                read_at - now, self._take_turn
+            )
+
+    def _await_next_request(self) -> None:
+        """Go on with what has been read, or start the keep-alive timeout."""
+        if self.paused:
+            self.transport.pauseProducing()
+        elif self._ahead and not self._busyReceiving:
+            self.dataReceived(b'')
+        elif not self._has_part_of_head():
+            self.start_idle_period()
+
+    def _take_turn(self) -> None:
+        self.paused = False
+        if not self._waitingForTransport:
+            self.transport.resumeProducing()
+        self.dataReceived(b'')
+
     def _read_on(self) -> None:
         """Resume reading, unless the body waits for its consumer."""
         body = self.requests[0].body if self.requests else None
@@ -586,8 +640,8 @@
 
     def _unparsed_bytes(self) -> int:
         """Return the size of what has been read and not been taken."""
-        ahead = len(self._buffer) + sum(map(len, self._dataBuffer))
-        return self._unread_bytes() + ahead
+        parts = (*self._dataBuffer, self._buffer, self._ahead)
+        return self._unread_bytes() + sum(map(len, parts))
 
     def _unread_bytes(self) -> int:
         body = self.requests[0].body if self.requests else None
@@ -626,8 +680,8 @@
 
     def _has_part_of_head(self) -> bool:
         """Return whether a head has begun; empty lines ahead do not count."""
-        has_begun = bool(self.requests) or bool(self._buffer.strip())
-        return has_begun and bool(self.line_mode)
+        has_begun = self._buffer.strip() or self._ahead.strip()
+        return bool(self.requests or has_begun) and bool(self.line_mode)
 
     def _send100Continue(self) -> None:  # overrides
         """Send nothing; the handler calls ``StreamRequest.send_continue``."""
@@ -665,11 +719,14 @@
         Share of all sockets that the connections to this port may have.
     pace
         When the small chunks of all connections have been paid for.
+    ahead
+        The same for requests that are sent ahead of answers.
     """
 
     limits: ProcessLimits = DEFAULT_LIMITS
     socket_share: float = CLIENT_PORT_SHARE
-    pace: ChunkPace = field(default_factory=ChunkPace)
+    pace: ReadPace = field(default_factory=lambda: ReadPace('chunks'))
+    ahead: ReadPace = field(default_factory=lambda: ReadPace('requests'))
     stalled_bodies: int = 0
     refused_connections: int = 0
     closed_idle: int = 0
@@ -725,7 +782,7 @@
         A new connection stays open, because its first request is on its way.
         """
         for channel in list(self.channels):
-            if channel.is_used and not channel.requests:
+            if channel.is_used and channel.is_unused():
                 channel.loseConnection()
 
     def close(self) -> Deferred[None]:
@@ -800,7 +857,7 @@
 
     def _close_unused(self) -> None:
         for channel in list(self.channels):
-            if not channel.requests:
+            if channel.is_unused():
                 channel.loseConnection()
 
     def _build_channel(self) -> _StreamChannel:
--- a/marjoramlead/sidecar_status.py
+++ b/marjoramlead/sidecar_status.py
@@ -52,6 +52,7 @@
         'refused_connections': lambda site: site.clients.refused_connections,
         'closed_idle': lambda site: site.clients.closed_idle,
         'chunk_waits': lambda site: site.clients.pace.waits,
+        'ahead_waits': lambda site: site.clients.ahead.waits,
     }
 )
 
--- a/tests/test_chunked_decoder.py
+++ b/tests/test_chunked_decoder.py
@@ -7,18 +7,18 @@
 from twisted.internet.testing import StringTransport
 from twisted.web.http import _MalformedChunkedDataError
 
-from marjoramlead.chunk_pace import (
-    CHUNK_S,
-    FREE_CHUNKS,
-    ChunkPace,
-    charge_chunks,
-)
 from marjoramlead.chunked_decoder import (
     MAX_SIZE_LINE_BYTES,
     MAX_TRAILER_BYTES,
     ChunkedDecoder,
 )
 from marjoramlead.http_server import make_site
+from marjoramlead.read_pace import (
+    CHUNKS_PER_S,
+    FREE_CHUNKS,
+    ReadPace,
+    charge_chunks,
+)
 
 TAIL = b'GET / HTTP/1.1\r\n'
 
@@ -79,12 +79,12 @@
 
 
 def test_small_chunks_of_all_connections_are_paid_for_one_after_another():
-    pace = ChunkPace()
+    pace = ReadPace('chunks')
     assert charge_chunks(pace, FREE_CHUNKS, 5) is None
     first = charge_chunks(pace, 1000, 5)
     second = charge_chunks(pace, 1000, 5)
-    assert first == pytest.approx(5 + 1000 * CHUNK_S)
-    assert second == pytest.approx(first + 1000 * CHUNK_S)
+    assert first == pytest.approx(5 + 1000 / CHUNKS_PER_S)
+    assert second == pytest.approx(first + 1000 / CHUNKS_PER_S)
     assert charge_chunks(pace, 1000, second + 1) > second + 1
 
 
@@ -99,5 +99,5 @@
         + b'1\r\nx\r\n' * 1000
     )
     assert transport.producerState == 'paused'
-    clock.advance(1000 * CHUNK_S)
+    clock.advance(1000 / CHUNKS_PER_S)
     assert transport.producerState == 'producing'
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -67,6 +67,10 @@
         repeat(head_of(number, path='/small/large', method='GET'), 500)
         for number in range(40)
     ),
+    'refused_ahead': lambda: (
+        repeat(b'GET /none HTTP/1.1\r\nHost: a\r\n\r\n' * 1_000, 20)
+        for _client in range(40)
+    ),
     'unread_answers': lambda: (
         repeat(head_of(number, path='/small/large', method='GET'), 2)
         for number in range(100)
@@ -84,7 +88,15 @@
     'queries_in_chunks': lambda: chunked(700, CHUNK, 2, FATE_PATH),
     'reads_with_bodies': lambda: with_length(700, 200_000, 150_000, FEED_PATH),
 }
-PEER_CROWDS = ('with_length', 'chunked', 'tiny_chunks', 'too_large', 'heads')
+PEER_CROWDS = (
+    'with_length',
+    'chunked',
+    'tiny_chunks',
+    'too_large',
+    'heads',
+    'refused_ahead',
+)
+PROBE_CROWDS = ('announced_too_large', 'too_large', 'heads', 'refused_ahead')
 
 
 async def play(folder, crowd, port, limits=LIMITS):
@@ -123,6 +135,11 @@
     asyncio.run(play(tmp_path, CROWDS[name](), 'inbound'))
 
 
+@pytest.mark.parametrize('name', PROBE_CROWDS)
+def test_crowd_at_the_port_of_probes_ends_no_process(tmp_path, name):
+    asyncio.run(play(tmp_path, CROWDS[name](), 'ready'))
+
+
 @pytest.mark.parametrize('name', NODE_CROWDS)
 def test_crowd_of_queries_and_reads_ends_no_process(tmp_path, name):
     limits = Limits(max_fds=4_100)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -4,12 +4,14 @@
 from twisted.python.failure import Failure
 
 from marjoramlead.bodies import MAX_UNREAD_BYTES
+from marjoramlead.client_limits import ProcessLimits
 from marjoramlead.http_server import (
     UNSENT_BODY_TIMEOUT_S,
     HeadLimits,
     make_site,
 )
 from marjoramlead.problems import json_response
+from marjoramlead.read_pace import FREE_REQUESTS
 
 
 class Collector:
@@ -141,3 +143,80 @@
     assert not transport.disconnecting
     clock.advance(2)
     assert transport.disconnecting
+
+
+def answer_all(channel, seconds):
+    """Let time pass in small steps."""
+    for _step in range(round(seconds * 1000)):
+        channel.site.clock.advance(0.001)
+
+
+def count_and_refuse(handled):
+    def handle(req):
+        handled.append(req.uri)
+        refuse(req)
+
+    return handle
+
+
+AHEAD = b''.join(b'GET /%d HTTP/1.1\r\n\r\n' % number for number in range(500))
+
+
+# Processor time: 2,000 requests in one read kept the loop for a second.
+def test_requests_that_are_sent_ahead_are_read_at_a_pace():
+    handled = []
+    channel, transport = connect(count_and_refuse(handled))
+    per_s = channel.site.clients.limits.requests_ahead_per_s
+    channel.dataReceived(AHEAD)
+    assert len(handled) <= 1 + FREE_REQUESTS
+    answer_all(channel, 1)
+    assert 0.9 * per_s <= len(handled) <= per_s + 1 + FREE_REQUESTS
+    answer_all(channel, 500 / per_s)
+    assert handled == [b'/%d' % number for number in range(500)]
+    assert transport.value().count(b'HTTP/1.1 503 ') == 500
+    assert not transport.disconnecting
+
+
+def test_requests_behind_one_that_waits_are_read_at_a_pace():
+    waiting, handled = [], []
+    channel, _transport = connect(
+        lambda req: handled.append(req) if waiting else waiting.append(req)
+    )
+    channel.dataReceived(AHEAD)
+    refuse(waiting[0])
+    answer_all(channel, 0.1)
+    assert [req.uri for req in handled] == [b'/1']
+
+
+def test_body_in_the_middle_of_requests_ahead_arrives_whole():
+    bodies = []
+
+    def handle(req):
+        chunks = []
+        bodies.append(chunks)
+        if req.body is None:
+            refuse(req)
+        else:
+            reading = req.body.startProducing(Collector(chunks))
+            reading.addCallback(lambda _read: refuse(req))
+
+    channel, transport = connect(handle)
+    body = bytes(range(256)) * 40
+    head = b'PUT /a HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % len(body)
+    channel.dataReceived(AHEAD[:95] + head + body + AHEAD[:4_000])
+    answer_all(channel, 1)
+    assert b''.join(next(each for each in bodies if each)) == body
+    assert not transport.disconnecting
+
+
+def test_requests_ahead_are_answered_when_the_site_closes():
+    handled = []
+    channel, transport = connect(count_and_refuse(handled))
+    channel.site.clients.limits = ProcessLimits(12, requests_ahead_per_s=50)
+    channel.dataReceived(b'GET / HTTP/1.1\r\n\r\n' * 20)
+    closed = channel.site.close()
+    answer_all(channel, 1)
+    assert len(handled) == 20
+    assert transport.disconnecting
+    channel.connectionLost(Failure(ConnectionDone()))
+    assert closed.called
