Lengths and waits that are no numbers of use are refused, not raised

Seen: a Content-Length of 5,000 digits ended the connection without an answer, with 20 lines of traceback in the log; some 16,000 of them in eight seconds took a node from 48 to 122 MB. A read of another node with a negative wait, or one of 400 digits, ended the same way.

Cause: Python converts no more than 4,300 digits. What an exception in a connection's reading refers to stays until garbage is collected.

Change: a length of more than 18 digits is answered with 400; a negative wait is none, one that no float holds is 400.

--- a/marjoramlead/feeds.py
+++ b/marjoramlead/feeds.py
@@ -114,10 +114,10 @@
                     for base in bases
                     if base
                 ),
-                int(parameters.get('wait_ms', 0)) / MS_PER_SECOND,
+                max(0, int(parameters.get('wait_ms', 0)) / MS_PER_SECOND),
             )
         )
-    except ValueError as exc:
+    except (OverflowError, ValueError) as exc:
         return Error(Fault('feed query', str(exc)))
 
 
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -84,6 +84,8 @@
 MAX_UNPARSED_PARTS: Final = 16
 # Bytes of heads that are parsed at a time; taking a line copies the rest.
 HEAD_PART_BYTES: Final = 4_096
+# Digits of a length; Python limits how many it converts.
+MAX_LENGTH_DIGITS: Final = 18
 # Headers of an ordinary request, whose memory is counted with the request, and
 # memory of each further one.
 ORDINARY_HEADERS: Final = 24
@@ -573,7 +575,9 @@
             self.loseConnection()
 
     def _maybeChooseTransferDecoder(self, name: bytes, raw: bytes) -> bool:
-        """Replace Twisted's decoder of chunks."""
+        """Refuse a length that no body has; replace the decoder of chunks."""
+        if name == b'Content-Length' and len(raw) > MAX_LENGTH_DIGITS:
+            return self._failChooseTransferDecoder()
         is_valid: bool = super()._maybeChooseTransferDecoder(name, raw)
         if isinstance(self._transferDecoder, _ChunkedTransferDecoder):
             self._transferDecoder = ChunkedDecoder(
--- a/tests/test_crowds_in_turn.py
+++ b/tests/test_crowds_in_turn.py
@@ -45,7 +45,13 @@
         yield head_of(number, length, path=FATE_PATH) + body
 
 
+def lengths_that_are_no_integers():
+    for number in range(4_000):
+        yield head_of(number, f'Content-Length: {"9" * 5_000}')
+
+
 CROWDS = {
+    'long_lengths': (lengths_that_are_no_integers, 'outbound'),
     'long_ids': (long_ids, 'outbound'),
     'long_uris': (long_uris_of_refused_requests, 'outbound'),
     'long_fate_queries': (long_ids_of_fate_queries, 'inbound'),
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -571,3 +571,14 @@
     confirm_revision(ahead, rev(4, era=1), 0, 0)
     raw = encode_feed(ahead, FeedQuery(NO_REVISION), 0)
     assert 'copied_until' not in decode_feed(raw).ok
+
+
+# An exception ended the connection without an answer.
+@pytest.mark.parametrize(
+    ('wait_ms', 'is_valid'), [('-5', True), ('9' * 400, False)]
+)
+def test_wait_of_a_read_that_is_no_time(wait_ms, is_valid):
+    uri = f'/-/marjoram/feed?after=4&wait_ms={wait_ms}'.encode()
+    query = decode_feed_query(uri, 0)
+    assert query.is_ok() == is_valid
+    assert not is_valid or not query.ok.wait_s
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,3 +1,4 @@
+import pytest
 from twisted.internet.error import ConnectionDone
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
@@ -220,3 +221,14 @@
     assert transport.disconnecting
     channel.connectionLost(Failure(ConnectionDone()))
     assert closed.called
+
+
+# Python converts no more than 4,300 digits: an exception ended the connection.
+@pytest.mark.parametrize('digits', [19, 5_000])
+def test_length_that_no_body_has_is_refused(digits):
+    channel, transport = connect(refuse)
+    length = b'9' * digits
+    channel.dataReceived(b'PUT /a HTTP/1.1\r\nContent-Length: %b\r\n' % length)
+    channel.dataReceived(b'\r\n')
+    assert transport.value().startswith(b'HTTP/1.1 400 ')
+    assert transport.disconnecting
