A full port takes new connections in place of refused and slow bodies

Cause: the rest of a refused body was read without a limit on its time or rate, and a body that goes on, however slowly, was never ended. Neither is idle or quiet, so a full port found nothing to close but the new connection.

Change: a full port ends a body that is at least a second old: refused ones first, then those of the host with most connections, then the slowest; one of 16 KB a second or more is kept unless its host has over half of the connections (`kept_body_bytes_per_s`). Bodies are ranked ten times a second at most, so that a flood of connections does not pay for it with processor time. The rest of a refused body is read for `discard_s` (60) and, all of a port together, at `discarded_bytes_per_s` (50 MB). docs/design/untrusted-clients.md says what was weighed. The log line `body_stalled` is now `body_ended`, with a reason.

--- a/marjoramlead/body_progress.py
+++ b/marjoramlead/body_progress.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 __all__ = (
+    'DISCARD_S',
     'MIN_BODY_BYTES_PER_S',
     'PROGRESS_WINDOW_S',
     'BodyProgress',
@@ -21,6 +22,8 @@
 # Rate of a link of 2 kbit/s, over a while that outlasts a lost connection.
 MIN_BODY_BYTES_PER_S: Final = 256.0
 PROGRESS_WINDOW_S: Final = 10.0
+# Time for which the rest of a refused body is read.
+DISCARD_S: Final = 60.0
 # Time without a byte after which a body makes way for a new connection, if the
 # port has no connection left. A lost packet is sent again within 0.2 s.
 QUIET_S: Final = 1.0
@@ -46,6 +49,10 @@
         Time of the look since which nothing has arrived that was awaited.
     seen
         Bytes that had arrived then.
+    since
+        Time at which the body began or was refused.
+    discard_until
+        Time until which the rest of a refused body is read; a deadline.
     """
 
     received: int
@@ -54,6 +61,8 @@
     judged_at: float
     quiet_since: float
     seen: int = 0
+    since: float = 0
+    discard_until: float = float('inf')
 
 
 def is_quiet(progress: BodyProgress) -> bool:
--- a/marjoramlead/client_limits.py
+++ b/marjoramlead/client_limits.py
@@ -4,9 +4,13 @@
 from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
-from marjoramlead.body_progress import MIN_BODY_BYTES_PER_S
+from marjoramlead.body_progress import DISCARD_S, MIN_BODY_BYTES_PER_S
+from marjoramlead.eviction import KEPT_BODY_BYTES_PER_S
 from marjoramlead.ledger import MAX_BARRED_ATTEMPTS
-from marjoramlead.read_pace import REQUESTS_AHEAD_PER_S
+from marjoramlead.read_pace import (
+    DISCARDED_BYTES_PER_S,
+    REQUESTS_AHEAD_PER_S,
+)
 
 __all__ = (
     'CLIENT_PORT_SHARE',
@@ -37,6 +41,9 @@
         'min_body_bytes_per_s': 0,
         'max_barred_attempts': 0,
         'requests_ahead_per_s': 1,
+        'kept_body_bytes_per_s': 0,
+        'discard_s': 1,
+        'discarded_bytes_per_s': 1_000_000,
     }
 )
 
@@ -55,12 +62,21 @@
     requests_ahead_per_s
         Rate at which the connections to a port may send requests ahead of
         answers, all together.
+    kept_body_bytes_per_s
+        Rate from which a body does not make way for a new connection.
+    discard_s
+        Time for which the rest of a refused body is read, in seconds.
+    discarded_bytes_per_s
+        Rate at which the refused bodies of a port are read, all together.
     """
 
     max_sockets: int
     min_body_bytes_per_s: float = MIN_BODY_BYTES_PER_S
     max_barred_attempts: float = MAX_BARRED_ATTEMPTS
     requests_ahead_per_s: float = REQUESTS_AHEAD_PER_S
+    kept_body_bytes_per_s: float = KEPT_BODY_BYTES_PER_S
+    discard_s: float = DISCARD_S
+    discarded_bytes_per_s: float = DISCARDED_BYTES_PER_S
 
 
 def client_limits(
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -7,7 +7,8 @@
 the caller has received the response.
 """
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from io import BytesIO
 from typing import Final, NamedTuple, Protocol, cast
@@ -46,6 +47,7 @@
 )
 from marjoramlead.direct_writes import discard_unsent, write_now
 from marjoramlead.events import emit
+from marjoramlead.eviction import OpenBody, choose_bodies
 from marjoramlead.headers import BODY_GRANTED
 from marjoramlead.memory_budget import (
     Hold,
@@ -56,7 +58,12 @@
     unlimited_budget,
 )
 from marjoramlead.problems import BufferedResponse
-from marjoramlead.read_pace import ReadPace, charge_chunks, charge_request
+from marjoramlead.read_pace import (
+    ReadPace,
+    charge_chunks,
+    charge_discarded,
+    charge_request,
+)
 
 __all__ = (
     'UNSENT_BODY_TIMEOUT_S',
@@ -90,6 +97,8 @@
 # memory of each further one.
 ORDINARY_HEADERS: Final = 24
 HEADER_BYTES: Final = 300
+# Time between two looks at which bodies may be ended.
+EVICTION_INTERVAL_S: Final = 0.1
 EXPECT_HEADER: Final = b'Expect'
 HEAD_TIMEOUT_RESPONSE: Final = (
     b'HTTP/1.1 408 Request Timeout\r\n'
@@ -163,7 +172,9 @@
         self.body = BodyStream(self.channel.transport, length)
         self._is_body_requested = not expects_continue(self)
         now = self.channel.site.clock.seconds()
-        self._progress = BodyProgress(0, 0, now + PROGRESS_WINDOW_S, now, now)
+        self._progress = BodyProgress(
+            0, 0, now + PROGRESS_WINDOW_S, now, now, since=now
+        )
         self.channel.handler(self)
 
     def handleContentChunk(self, chunk: bytes) -> None:
@@ -176,6 +187,8 @@
         self._discarded_bytes += len(chunk)
         if self._discarded_bytes > MAX_DISCARDED_BYTES:
             self.channel.loseConnection()
+        else:
+            self.channel.charge_discarded(len(chunk))
 
     def requestReceived(
         self,
@@ -209,31 +222,70 @@
         progress = self._progress
         if progress is None or self.body is None:
             return
-        is_read = self.channel.is_reading() and self.body.is_reading()
         is_awaited = self._is_response_finished or (
-            is_read and self._is_body_requested
+            self.body.is_reading() and self._is_body_requested
         )
+        is_awaited = is_awaited and self.channel.is_reading()
         clients = self.channel.site.clients
         limit = clients.limits.min_body_bytes_per_s
         if has_stalled(progress, limit, now, is_awaited=is_awaited):
-            self.end_body()
+            self.end_body('stalled')
+        elif now >= progress.discard_until:
+            self.end_body('refused')
+
+    def open_body(
+        self, number: int, host_shares: Mapping[str, float]
+    ) -> OpenBody | None:
+        """Describe the body if it has not arrived whole.
 
-    def quiet_since(self) -> float | None:
-        """Return since when a body has not gone on, if that is long ago."""
+        Parameters
+        ----------
+        number
+            Identifies the body.
+        host_shares
+            Shares of the port's connections that hosts have.
+        """
         progress = self._progress
-        if progress is None or not is_quiet(progress):
+        if progress is None:
             return None
-        return progress.quiet_since
+        host = self.channel.peer_host()
+        return OpenBody(
+            number,
+            host,
+            host_shares[host],
+            progress.since,
+            progress.received,
+            is_quiet(progress),
+            self._is_response_finished,
+        )
 
-    def end_body(self) -> None:
-        """Refuse a body of which no more is awaited, and close."""
+    def is_open(self) -> bool:
+        """Return whether a part of the body is still to come."""
+        return self._progress is not None
+
+    def is_discarding(self) -> bool:
+        """Return whether the rest of a refused body is read."""
+        return self._is_response_finished and not self._is_fully_received
+
+    def end_body(self, reason: str) -> None:
+        """Refuse a body of which no more is awaited, and close.
+
+        Parameters
+        ----------
+        reason
+            Why, for the log: ``stalled``, ``refused`` or ``port_full``.
+        """
         progress = self._progress
         if progress is None or self.body is None:
             return
         emit(
-            'body_stalled', length=self.body.length, received=progress.received
+            'body_ended',
+            reason=reason,
+            length=self.body.length,
+            received=progress.received,
         )
-        self.channel.site.clients.stalled_bodies += 1
+        clients = self.channel.site.clients
+        clients.ended_bodies[reason] += 1
         self._progress = None
         self.body.connection_lost(BodyStalledError())
         self.channel.timeoutConnection()
@@ -311,6 +363,7 @@
         if self._is_fully_received:
             self.finish()
             return
+        self._limit_discarding()
         timeout_s = self.channel.site.limits().idle_s
         if expects_continue(self):
             timeout_s = min(timeout_s, UNSENT_BODY_TIMEOUT_S)
@@ -336,6 +389,13 @@
         if not self.is_disconnected:
             self.channel.forceAbortClient()
 
+    def _limit_discarding(self) -> None:
+        if self._progress is not None:
+            now = self.channel.site.clock.seconds()
+            clients = self.channel.site.clients
+            self._progress.since = now
+            self._progress.discard_until = now + clients.limits.discard_s
+
 
 def expects_continue(req: StreamRequest) -> bool:
     """Return whether the caller sends the body only when told to."""
@@ -387,7 +447,8 @@
         self.joins_head = False
         self._head = b''
         self._unsent: list[Hold] = []
-        self._chunk_timer: Timer | None = None
+        self._read_timer: Timer | None = None
+        self._read_at: float = 0
         self._turn_timer: Timer | None = None
         self._ahead = b''
         self._head_bytes = 0
@@ -409,7 +470,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Remove the connection and cancel its timers."""
         self.timers.cancel()
-        for timer in (self._chunk_timer, self._turn_timer):
+        for timer in (self._read_timer, self._turn_timer):
             if timer is not None and timer.active():
                 timer.cancel()
         self._unsent.clear()
@@ -446,10 +507,7 @@
             self.site.clients.pace, decoder.read_chunks, now
         )
         if read_at is not None and self._transferDecoder is decoder:
-            self.transport.pauseProducing()
-            self._chunk_timer = self.site.clock.callLater(
-                read_at - now, self._read_on
-            )
+            self._pause_until(read_at)
 
     def resumeProducing(self) -> None:
         """Release the responses that the operating system has accepted."""
@@ -462,6 +520,22 @@
             self._peer = super().getPeer()
         return self._peer
 
+    def peer_host(self) -> str:
+        """Return the address of the client's host; empty if there is none."""
+        return str(getattr(self.getPeer(), 'host', ''))
+
+    def charge_discarded(self, size: int) -> None:
+        """Count bytes of a refused body; read on later if they are many."""
+        clients = self.site.clients
+        read_at = charge_discarded(
+            clients.discarded,
+            size,
+            clients.limits.discarded_bytes_per_s,
+            self.site.clock.seconds(),
+        )
+        if read_at is not None:
+            self._pause_until(read_at)
+
     def getHost(self) -> IAddress:
         """Return the own address, for which Twisted asks the system."""
         if self._host is None:
@@ -539,8 +613,8 @@
         return not (self.requests or self.paused)
 
     def is_reading(self) -> bool:
-        """Return whether small chunks do not keep the connection waiting."""
-        return self._chunk_timer is None or not self._chunk_timer.active()
+        """Return whether no pace keeps the connection waiting."""
+        return self._read_timer is None or not self._read_timer.active()
 
     def read_request_line(self) -> _RequestLine:
         """Return the request line of a request whose body is yet to arrive."""
@@ -624,10 +698,23 @@
             self.transport.resumeProducing()
         self.dataReceived(b'')
 
+    def _pause_until(self, read_at: float) -> None:
+        """Do not read a body until a time, or the later one of two."""
+        self._read_at = max(self._read_at, read_at)
+        self.transport.pauseProducing()
+        if self.is_reading():
+            wait_s = max(0, self._read_at - self.site.clock.seconds())
+            self._read_timer = self.site.clock.callLater(wait_s, self._read_on)
+
     def _read_on(self) -> None:
         """Resume reading, unless the body waits for its consumer."""
-        body = self.requests[0].body if self.requests else None
-        if body is None or body.is_reading():
+        if self._read_at > self.site.clock.seconds():
+            self._pause_until(self._read_at)
+            return
+        req = self.requests[0] if self.requests else None
+        body = req.body if req else None
+        is_discarding = req is not None and req.is_discarding()
+        if body is None or is_discarding or body.is_reading():
             self.transport.resumeProducing()
 
     def _hold_unparsed(self) -> bool:
@@ -725,13 +812,18 @@
         When the small chunks of all connections have been paid for.
     ahead
         The same for requests that are sent ahead of answers.
+    discarded
+        The same for the bytes of refused bodies.
+    ended_bodies
+        Number of bodies that were ended, by reason.
     """
 
     limits: ProcessLimits = DEFAULT_LIMITS
     socket_share: float = CLIENT_PORT_SHARE
     pace: ReadPace = field(default_factory=lambda: ReadPace('chunks'))
     ahead: ReadPace = field(default_factory=lambda: ReadPace('requests'))
-    stalled_bodies: int = 0
+    discarded: ReadPace = field(default_factory=lambda: ReadPace('refused'))
+    ended_bodies: Counter[str] = field(default_factory=Counter)
     refused_connections: int = 0
     closed_idle: int = 0
 
@@ -774,6 +866,8 @@
         self.is_closing = False
         self.idle: dict[_StreamChannel, None] = {}
         self.clients = ClientState()
+        self._evictable: list[StreamRequest] = []
+        self._look_again_at: float = 0
         self._all_closed: Deferred[None] = Deferred()
         self.protocol = self._build_channel  # type: ignore[method-assign, assignment]
 
@@ -823,7 +917,7 @@
         clients = self.clients
         limit = clients.limits.max_sockets * clients.socket_share
         is_full = len(self.channels) > limit
-        return not is_full or self.close_oldest_idle() or self._end_quiet_body()
+        return not is_full or self.close_oldest_idle() or self._end_body()
 
     def close_oldest_idle(self) -> bool:
         """Close the connection that is idle for longest, if there is one."""
@@ -846,18 +940,35 @@
         if is_last and not self._all_closed.called:
             self._all_closed.callback(None)
 
-    def _end_quiet_body(self) -> bool:
-        """Refuse the body that has not gone on for longest, if there is one."""
-        quiet = [
-            (since, number, req)
-            for number, channel in enumerate(self.channels)
-            for req in channel.requests
-            if (since := req.quiet_since()) is not None
-        ]
-        if not quiet:
-            return False
-        min(quiet)[2].end_body()
-        return True
+    def _end_body(self) -> bool:
+        """End a body in favour of a new connection, if one may be ended."""
+        now = self.clock.seconds()
+        if now >= self._look_again_at:
+            self._look_again_at = now + EVICTION_INTERVAL_S
+            self._evictable = self._choose_bodies(now)
+        while self._evictable:
+            req = self._evictable.pop()
+            if req.is_open():
+                req.end_body('port_full')
+                return True
+        return False
+
+    def _choose_bodies(self, now: float) -> list[StreamRequest]:
+        """Return the requests whose bodies may be ended, the first one last."""
+        hosts = Counter(channel.peer_host() for channel in self.channels)
+        shares = {
+            host: count / len(self.channels) for host, count in hosts.items()
+        }
+        reqs = [req for channel in self.channels for req in channel.requests]
+        bodies = (
+            req.open_body(number, shares) for number, req in enumerate(reqs)
+        )
+        chosen = choose_bodies(
+            (body for body in bodies if body is not None),
+            self.clients.limits.kept_body_bytes_per_s,
+            now,
+        )
+        return [reqs[number] for number in chosen]
 
     def _close_unused(self) -> None:
         for channel in list(self.channels):
--- a/marjoramlead/read_pace.py
+++ b/marjoramlead/read_pace.py
@@ -15,9 +15,11 @@
 
 __all__ = (
     'CHUNKS_PER_S',
+    'DISCARDED_BYTES_PER_S',
     'REQUESTS_AHEAD_PER_S',
     'ReadPace',
     'charge_chunks',
+    'charge_discarded',
     'charge_request',
 )
 
@@ -30,6 +32,10 @@
 REQUESTS_AHEAD_PER_S: Final = 200.0
 # Requests of all connections together that are never waited for.
 FREE_REQUESTS: Final = 10
+# Bytes of refused bodies, a link of 400 Mbit/s.
+DISCARDED_BYTES_PER_S: Final = 50e6
+# Time that such bytes may take without a wait.
+FREE_DISCARD_S: Final = 0.1
 # Time between two log lines of a pace.
 LOG_INTERVAL_S: Final = 1.0
 
@@ -100,6 +106,27 @@
     return None if is_free else _wait(pace, now)
 
 
+def charge_discarded(
+    pace: ReadPace, size: int, bytes_per_s: float, now: float
+) -> float | None:
+    """Return until when a refused body is not read, if it must wait.
+
+    Parameters
+    ----------
+    pace
+        Pace of all connections of a port.
+    size
+        Bytes that have been read and discarded.
+    bytes_per_s
+        Rate at which refused bodies are read, all together.
+    now
+        Present time, in seconds.
+    """
+    _charge(pace, size / bytes_per_s, now)
+    is_free = pace.paid_at <= now + FREE_DISCARD_S
+    return None if is_free else _wait(pace, now)
+
+
 def _charge(pace: ReadPace, cost_s: float, now: float) -> None:
     pace.paid_at = max(now, pace.paid_at) + cost_s
 
--- a/marjoramlead/sidecar_status.py
+++ b/marjoramlead/sidecar_status.py
@@ -48,7 +48,10 @@
 # What limits on clients have ended, by the name of its gauge.
 LIMIT_COUNTERS: Final[Mapping[str, _Count]] = MappingProxyType(
     {
-        'stalled_bodies': lambda site: site.clients.stalled_bodies,
+        'stalled_bodies': lambda site: site.clients.ended_bodies['stalled'],
+        'ended_discards': lambda site: site.clients.ended_bodies['refused'],
+        'evicted_bodies': lambda site: site.clients.ended_bodies['port_full'],
+        'discard_waits': lambda site: site.clients.discarded.waits,
         'refused_connections': lambda site: site.clients.refused_connections,
         'closed_idle': lambda site: site.clients.closed_idle,
         'chunk_waits': lambda site: site.clients.pace.waits,
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -7,6 +7,7 @@
 from twisted.internet.testing import StringTransport
 
 from marjoramlead.body_progress import (
+    DISCARD_S,
     MIN_BODY_BYTES_PER_S,
     PROGRESS_WINDOW_S,
     BodyProgress,
@@ -15,6 +16,7 @@
 from marjoramlead.client_limits import ProcessLimits, client_limits
 from marjoramlead.http_server import make_site
 from marjoramlead.memory_budget import MemoryBudget
+from marjoramlead.problems import json_response
 from tests.platform_mesh import route
 from tests.test_memory_budget import make_small_host, send_raw
 
@@ -145,6 +147,60 @@
     assert not ended[0]
 
 
+def refuse_body(site):
+    """Return a connection of which a body was refused, and its transport."""
+    site._handler = lambda req: req.send_response(json_response(503, {}))
+    transport = open_connections(1, site)[0]
+    channel = next(iter(site.channels))
+    channel.dataReceived(b'PUT / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n')
+    return channel, transport
+
+
+# RECOVER: connections of refused bodies counted as long as these went on.
+def test_rest_of_a_refused_body_is_read_for_a_limited_time():
+    site = make_limited_site()
+    channel, transport = refuse_body(site)
+    steps = 0
+    while not transport.disconnecting:
+        site.clock.advance(0.25)
+        channel.dataReceived(bytes(1_000))
+        site.end_stalled_bodies()
+        steps += 1
+    assert steps * 0.25 == DISCARD_S
+    assert transport.value().startswith(b'HTTP/1.1 503 ')
+    assert site.clients.ended_bodies == {'refused': 1}
+
+
+def test_refused_bodies_are_read_at_a_limited_rate():
+    site = make_limited_site()
+    limits = site.clients.limits._replace(discarded_bytes_per_s=1_000_000)
+    site.clients.limits = limits
+    channel, transport = refuse_body(site)
+    read = 0
+    for _step in range(1_000):
+        if transport.producerState == 'producing':
+            channel.dataReceived(bytes(50_000))
+            read += 50_000
+        site.clock.advance(0.01)
+    assert 9_000_000 <= read <= 10_200_000
+    assert site.clients.discarded.waits
+    assert not transport.disconnecting
+
+
+def test_refused_body_makes_way_for_a_new_connection():
+    site = make_limited_site()
+    _channel, transport = refuse_body(site)
+    open_connections(2, site)
+    for channel in list(site.idle):
+        channel.dataReceived(b'GET / HTTP/1.1\r\nHost: h\r\n')
+        site.idle.pop(channel, None)
+    site.clock.advance(1)
+    site.end_stalled_bodies()
+    open_connections(1, site)
+    assert transport.disconnecting
+    assert site.clients.ended_bodies == {'port_full': 1}
+
+
 def test_many_headers_are_counted():
     budget = MemoryBudget(62_000)
     site = make_limited_site(budget)
