The pace of chunks and the window of a body are checked settings

Cause: both were constants, so no operator could change them, and a test could not lower them.

Change: `chunks_per_s` (100,000 by default) and `body_window_s` (10), read again with the other settings. A window that has begun is judged by its own length. Tests check that each limit is refused below its minimum, named in the schema with the same minimum, and named for operators.

Result: no default changes; tests/test_client_limits.py.

--- a/marjoramlead/body_progress.py
+++ b/marjoramlead/body_progress.py
@@ -51,6 +51,8 @@
         Bytes that had arrived then.
     since
         Time at which the body began or was refused.
+    window_since
+        Begin of the window.
     discard_until
         Time until which the rest of a refused body is read; a deadline.
     """
@@ -62,6 +64,7 @@
     quiet_since: float
     seen: int = 0
     since: float = 0
+    window_since: float = 0
     discard_until: float = float('inf')
 
 
@@ -70,10 +73,13 @@
     return progress.judged_at - progress.quiet_since >= QUIET_S
 
 
-def start_window(progress: BodyProgress, now: float) -> None:
+def start_window(
+    progress: BodyProgress, now: float, window_s: float = PROGRESS_WINDOW_S
+) -> None:
     """Judge by what arrives from now on."""
     progress.received_before = progress.received
-    progress.judge_at = now + PROGRESS_WINDOW_S
+    progress.window_since = now
+    progress.judge_at = now + window_s
     progress.judged_at = now
 
 
@@ -83,6 +89,7 @@
     now: float,
     *,
     is_awaited: bool,
+    window_s: float = PROGRESS_WINDOW_S,
 ) -> bool:
     """Return whether the client has stopped; call this several times a second.
 
@@ -91,11 +98,13 @@
     progress
         What has arrived of the body.
     min_bytes_per_s
-        Lowest rate, over ``PROGRESS_WINDOW_S``.
+        Lowest rate, over a window.
     now
         Present time, in seconds.
     is_awaited
         Whether the client may send, and the node reads what it sends.
+    window_s
+        Length of the next window, in seconds.
     """
     was_delayed = now - progress.judged_at > MAX_DELAY_S
     progress.judged_at = now
@@ -103,12 +112,12 @@
         progress.seen = progress.received
         progress.quiet_since = now
     if was_delayed or not is_awaited:
-        start_window(progress, now)
+        start_window(progress, now, window_s)
         return False
     if now < progress.judge_at:
         return False
     arrived = progress.received - progress.received_before
-    if arrived < min_bytes_per_s * PROGRESS_WINDOW_S:
+    if arrived < min_bytes_per_s * (progress.judge_at - progress.window_since):
         return True
-    start_window(progress, now)
+    start_window(progress, now, window_s)
     return False
--- a/marjoramlead/client_limits.py
+++ b/marjoramlead/client_limits.py
@@ -4,10 +4,15 @@
 from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
-from marjoramlead.body_progress import DISCARD_S, MIN_BODY_BYTES_PER_S
+from marjoramlead.body_progress import (
+    DISCARD_S,
+    MIN_BODY_BYTES_PER_S,
+    PROGRESS_WINDOW_S,
+)
 from marjoramlead.eviction import KEPT_BODY_BYTES_PER_S
 from marjoramlead.ledger import MAX_BARRED_ATTEMPTS
 from marjoramlead.read_pace import (
+    CHUNKS_PER_S,
     DISCARDED_BYTES_PER_S,
     REQUESTS_AHEAD_PER_S,
 )
@@ -39,6 +44,8 @@
 MINIMA: Final[Mapping[str, float]] = MappingProxyType(
     {
         'min_body_bytes_per_s': 0,
+        'body_window_s': 1,
+        'chunks_per_s': 1_000,
         'max_barred_attempts': 0,
         'requests_ahead_per_s': 1,
         'kept_body_bytes_per_s': 0,
@@ -57,6 +64,11 @@
         Maximum number of open connections, in and out.
     min_body_bytes_per_s
         Lowest rate of a body; 0 for no limit.
+    body_window_s
+        Time over which this rate is judged, in seconds.
+    chunks_per_s
+        Rate at which the connections to a port may send small chunks, all
+        together.
     max_barred_attempts
         Maximum number of attempts that are barred by queries at a time.
     requests_ahead_per_s
@@ -72,6 +84,8 @@
 
     max_sockets: int
     min_body_bytes_per_s: float = MIN_BODY_BYTES_PER_S
+    body_window_s: float = PROGRESS_WINDOW_S
+    chunks_per_s: float = CHUNKS_PER_S
     max_barred_attempts: float = MAX_BARRED_ATTEMPTS
     requests_ahead_per_s: float = REQUESTS_AHEAD_PER_S
     kept_body_bytes_per_s: float = KEPT_BODY_BYTES_PER_S
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -28,10 +28,10 @@
 
 from marjoramlead.bodies import MAX_UNREAD_BYTES, BodyStalledError, BodyStream
 from marjoramlead.body_progress import (
-    PROGRESS_WINDOW_S,
     BodyProgress,
     has_stalled,
     is_quiet,
+    start_window,
 )
 from marjoramlead.chunked_decoder import ChunkedDecoder
 from marjoramlead.client_limits import (
@@ -172,9 +172,9 @@
         self.body = BodyStream(self.channel.transport, length)
         self._is_body_requested = not expects_continue(self)
         now = self.channel.site.clock.seconds()
-        self._progress = BodyProgress(
-            0, 0, now + PROGRESS_WINDOW_S, now, now, since=now
-        )
+        self._progress = BodyProgress(0, 0, now, now, now, since=now)
+        limits = self.channel.site.clients.limits
+        start_window(self._progress, now, limits.body_window_s)
         self.channel.handler(self)
 
     def handleContentChunk(self, chunk: bytes) -> None:
@@ -227,8 +227,14 @@
         )
         is_awaited = is_awaited and self.channel.is_reading()
         clients = self.channel.site.clients
-        limit = clients.limits.min_body_bytes_per_s
-        if has_stalled(progress, limit, now, is_awaited=is_awaited):
+        has_ended = has_stalled(
+            progress,
+            clients.limits.min_body_bytes_per_s,
+            now,
+            is_awaited=is_awaited,
+            window_s=clients.limits.body_window_s,
+        )
+        if has_ended:
             self.end_body('stalled')
         elif now >= progress.discard_until:
             self.end_body('refused')
@@ -503,8 +509,9 @@
         if not isinstance(decoder, ChunkedDecoder):
             return
         now = self.site.clock.seconds()
+        clients = self.site.clients
         read_at = charge_chunks(
-            self.site.clients.pace, decoder.read_chunks, now
+            clients.pace, decoder.read_chunks, now, clients.limits.chunks_per_s
         )
         if read_at is not None and self._transferDecoder is decoder:
             self._pause_until(read_at)
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -1,6 +1,8 @@
 """Limits on clients: bodies that stop, and connections that are left open."""
 
+import json
 from itertools import repeat
+from pathlib import Path
 
 import pytest
 from twisted.internet.task import Clock
@@ -13,7 +15,7 @@
     BodyProgress,
     has_stalled,
 )
-from marjoramlead.client_limits import ProcessLimits, client_limits
+from marjoramlead.client_limits import MINIMA, ProcessLimits, client_limits
 from marjoramlead.http_server import make_site
 from marjoramlead.memory_budget import MemoryBudget
 from marjoramlead.problems import json_response
@@ -225,3 +227,44 @@
 def test_limits_that_are_too_low_are_refused(limits):
     with pytest.raises(ValueError, match='at least'):
         client_limits(*limits)
+
+
+@pytest.mark.parametrize('name', MINIMA)
+def test_each_limit_is_a_checked_setting(name):
+    lowest = MINIMA[name]
+    assert getattr(client_limits(**{name: lowest}), name) == lowest
+    for wrong in (lowest - 1, float('nan')):
+        with pytest.raises(ValueError, match=f'{name}: at least'):
+            client_limits(**{name: wrong})
+
+
+def test_each_limit_is_named_in_the_schema_and_for_operators():
+    folder = Path(__file__).resolve().parent.parent
+    schema = folder / 'marjoramlead/schema/sidecar.schema.json'
+    properties = json.loads(schema.read_text())['properties']
+    operations = (folder / 'docs/OPERATIONS.md').read_text()
+    for name, lowest in MINIMA.items():
+        assert properties[name]['minimum'] == lowest
+        assert f'`{name}`' in operations
+
+
+def test_window_of_a_body_and_pace_of_chunks_follow_the_settings():
+    site = make_limited_site()
+    limits = site.clients.limits
+    site.clients.limits = limits._replace(body_window_s=2, chunks_per_s=1_000)
+    open_connections(2, site)
+    first, second = list(site.channels)
+    first.dataReceived(b'PUT / HTTP/1.1\r\nContent-Length: 9\r\n\r\nx')
+    second.dataReceived(b'PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n')
+    for channel in (first, second):
+        channel.requests[0].body.startProducing(StringTransport())
+    second.dataReceived(b'1\r\nx\r\n' * 1_500)
+    for _step in range(7):
+        site.clock.advance(0.25)
+        site.end_stalled_bodies()
+    assert not first.transport.disconnecting
+    assert second.transport.producerState == 'producing'
+    site.clock.advance(0.25)
+    site.end_stalled_bodies()
+    assert first.transport.disconnecting
+    assert not second.transport.disconnecting
