--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -8,6 +8,7 @@
 import json
 import os
 import re
+import signal
 import socket
 import sys
 import time
@@ -60,6 +61,9 @@
 
     address: str
     process: object = None
+    settings: Path | None = None
+    target: object = None
+    target_writers: list = field(default_factory=list)
 
 
 @dataclass
@@ -109,6 +113,7 @@
                 system.ports['target'],
             )
             stack.callback(target.close)
+            node.target = target
             await start_node(system, node, folder)
             stack.push_async_callback(stop_node, node)
         stack.callback(leave, system)
@@ -141,6 +146,7 @@
     }
     path = Path(folder) / f'{node.address}.json'
     path.write_text(json.dumps(settings))
+    node.settings = path
     with path.with_suffix('.log').open('wb') as log:
         node.process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -233,6 +239,7 @@
 
 async def serve_target(system, node, reader, writer):
     """Read whole requests, and answer with the length of their bodies."""
+    node.target_writers.append(writer)
     with suppress(asyncio.IncompleteReadError, OSError):
         while True:
             first, fields = await read_head(reader)
@@ -398,6 +405,20 @@
     return {name: value.strip().split(' ')[0] for name, value in pairs}
 
 
+def stop_target(node):
+    """Close the port and the connections of the target beside a node."""
+    node.target.close()
+    for writer in node.target_writers:
+        writer.transport.abort()
+
+
+def reload_settings(node, **changed):
+    """Change settings of a running node, and tell it."""
+    settings = json.loads(node.settings.read_text()) | changed
+    node.settings.write_text(json.dumps(settings))
+    node.process.send_signal(signal.SIGHUP)
+
+
 def peak_mb(node):
     """Return the most memory that a process has had, in MB."""
     return int(read_status(node)['VmHWM']) * 1024 / 1e6
