--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -76,9 +76,9 @@
     writers: list = field(default_factory=list)
     received: list = field(default_factory=list)
 
-    def address(self, port='outbound'):
-        """Return the address of the first node that a crowd talks to."""
-        return self.nodes[0].address, self.ports[port]
+    def address(self, port='outbound', index=0):
+        """Return the address of a port of a node, by default of the first."""
+        return self.nodes[index].address, self.ports[port]
 
 
 def free_ports(names):
@@ -383,12 +383,12 @@
     return fields.get('connection', '').lower() != 'close'
 
 
-async def send_crowd(system, crowd, port='outbound'):
+async def send_crowd(system, crowd, port='outbound', index=0):
     """Send the parts of each client of a crowd at the same time.
 
     A client that the node no longer reads is left as it is.
     """
-    address = system.address(port)
+    address = system.address(port, index)
     sending = [
         asyncio.create_task(open_and_send(system, address, parts))
         for parts in crowd
--- a/tests/test_crowds_in_sequence.py
+++ b/tests/test_crowds_in_sequence.py
@@ -14,6 +14,7 @@
     running_system,
     send_crowd,
 )
+from tests.test_crowds import CROWDS, PEER_CROWDS, PROBE_CROWDS
 
 # Memory of the smallest host, and the largest body.
 LIMITS = Limits(150, 67_108_864, 4_100)
@@ -61,6 +62,38 @@
     assert all(served)
 
 
+def crowd_by_name(name):
+    async def send(system):
+        leave(system)
+        await send_crowd(system, CROWDS[name]())
+
+    return send
+
+
+async def at_all_nodes_and_ports(system):
+    crowds = [
+        *((name, 'outbound') for name in CROWDS),
+        *((name, 'inbound') for name in PEER_CROWDS),
+        *((name, 'ready') for name in PROBE_CROWDS),
+    ]
+    sending = [
+        send_crowd(system, CROWDS[name](), port, index)
+        for name, port in crowds
+        for index in range(len(system.nodes))
+    ]
+    await asyncio.gather(*sending)
+
+
+# Memory: 152 MB, for the same reason.
+def test_each_crowd_after_another_one_that_has_left(tmp_path):
+    crowds = [crowd_by_name(name) for name in CROWDS]
+    check(asyncio.run(play(tmp_path, crowds)))
+
+
+def test_all_crowds_at_all_nodes_and_ports_at_once(tmp_path):
+    check(asyncio.run(play(tmp_path, [at_all_nodes_and_ports])))
+
+
 # Memory: 169 to 212 MB, as closed connections kept what they had not sent.
 def test_unread_answers_after_clients_that_read_slowly_and_left(tmp_path):
     crowds = ROUNDS * [read_slowly_and_leave] + ROUNDS * [read_nothing]
