A body that the node has not asked for is not ended for a new connection

Found in reading the change: other nodes send bodies in the parts that this node grants, so their rate says nothing of them. Their time counts from when they are asked for.

--- a/marjoramlead/body_progress.py
+++ b/marjoramlead/body_progress.py
@@ -50,7 +50,7 @@
     seen
         Bytes that had arrived then.
     since
-        Time at which the body began or was refused.
+        Time at which the body began, was asked for or was refused.
     window_since
         Begin of the window.
     discard_until
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -222,16 +222,17 @@
         progress = self._progress
         if progress is None or self.body is None:
             return
-        is_awaited = self._is_response_finished or (
+        is_wanted = self._is_response_finished or (
             self.body.is_reading() and self._is_body_requested
         )
-        is_awaited = is_awaited and self.channel.is_reading()
+        if not is_wanted:
+            progress.since = now
         clients = self.channel.site.clients
         has_ended = has_stalled(
             progress,
             clients.limits.min_body_bytes_per_s,
             now,
-            is_awaited=is_awaited,
+            is_awaited=is_wanted and self.channel.is_reading(),
             window_s=clients.limits.body_window_s,
         )
         if has_ended:
@@ -700,6 +701,8 @@
             self.start_idle_period()
 
     def _take_turn(self) -> None:
+        if self.transport.disconnecting:
+            return
         self.paused = False
         if not self._waitingForTransport:
             self.transport.resumeProducing()
@@ -915,6 +918,7 @@
     def end_stalled_bodies(self) -> None:
         """Refuse bodies whose senders have stopped; call this periodically."""
         now = self.clock.seconds()
+        self._evictable.clear()
         for channel in list(self.channels):
             for req in list(channel.requests):
                 req.end_if_stalled(now)
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -203,6 +203,21 @@
     assert site.clients.ended_bodies == {'port_full': 1}
 
 
+def test_body_that_the_node_has_not_asked_for_is_kept():
+    site = make_limited_site()
+    transports = open_connections(3, site)
+    for channel in list(site.channels):
+        channel.dataReceived(
+            b'PUT / HTTP/1.1\r\nContent-Length: 9\r\n'
+            b'Expect: 100-continue\r\n\r\n'
+        )
+    for _step in range(8):
+        site.clock.advance(0.25)
+        site.end_stalled_bodies()
+    transports += open_connections(1, site)
+    assert closed(transports) == [False, False, False, True]
+
+
 def test_many_headers_are_counted():
     budget = MemoryBudget(62_000)
     site = make_limited_site(budget)
