Answers that are read slowly give way when their memory is needed

Seen: a few clients that ask for large answers and read none, or a little, keep the memory budget for as long as they like. On 150 MB, an ordinary client that asked for 3 MB got 502 or 504 for 72 s and on, until they left.

Cause: what waits to be sent counted in the budget and could not be given up, unlike an answer that arrives.

Change: a client that reads less than `kept_answer_bytes_per_s` (16 KB) over `answer_window_s` (5 s) is ended if another message does not fit; in calm it is left alone. A host that stood still judges nobody.

--- a/marjoramlead/client_limits.py
+++ b/marjoramlead/client_limits.py
@@ -4,6 +4,10 @@
 from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
+from marjoramlead.answer_progress import (
+    ANSWER_WINDOW_S,
+    KEPT_ANSWER_BYTES_PER_S,
+)
 from marjoramlead.body_progress import (
     DISCARD_S,
     MIN_BODY_BYTES_PER_S,
@@ -48,6 +52,8 @@
         'chunks_per_s': 1_000,
         'max_barred_attempts': 0,
         'requests_ahead_per_s': 1,
+        'answer_window_s': 1,
+        'kept_answer_bytes_per_s': 0,
         'kept_body_bytes_per_s': 0,
         'discard_s': 1,
         'discarded_bytes_per_s': 1_000_000,
@@ -74,6 +80,10 @@
     requests_ahead_per_s
         Rate at which the connections to a port may send requests ahead of
         answers, all together.
+    answer_window_s
+        Time over which it is judged how a client reads, in seconds.
+    kept_answer_bytes_per_s
+        Rate from which an answer does not give way if memory is short.
     kept_body_bytes_per_s
         Rate from which a body does not make way for a new connection.
     discard_s
@@ -88,6 +98,8 @@
     chunks_per_s: float = CHUNKS_PER_S
     max_barred_attempts: float = MAX_BARRED_ATTEMPTS
     requests_ahead_per_s: float = REQUESTS_AHEAD_PER_S
+    answer_window_s: float = ANSWER_WINDOW_S
+    kept_answer_bytes_per_s: float = KEPT_ANSWER_BYTES_PER_S
     kept_body_bytes_per_s: float = KEPT_BODY_BYTES_PER_S
     discard_s: float = DISCARD_S
     discarded_bytes_per_s: float = DISCARDED_BYTES_PER_S
--- a/marjoramlead/direct_writes.py
+++ b/marjoramlead/direct_writes.py
@@ -11,7 +11,7 @@
 
 from twisted.internet.tcp import Connection
 
-__all__ = ('Writable', 'discard_unsent', 'write_now')
+__all__ = ('Writable', 'discard_unsent', 'unsent_bytes', 'write_now')
 
 # Longer messages are left to the loop, which sends them in parts.
 MAX_DIRECT_BYTES: Final = 65_536
@@ -43,6 +43,14 @@
         transport.write(chunk[sent:])
 
 
+def unsent_bytes(transport: object) -> int:
+    """Return how many bytes the operating system has not accepted yet."""
+    if not isinstance(transport, Connection):
+        return 0
+    kept = len(transport.dataBuffer) - transport.offset
+    return kept + transport._tempDataLen
+
+
 def discard_unsent(transport: object) -> None:
     """Free what a closed connection has not sent.
 
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -26,6 +26,11 @@
 )
 from twisted.web.http_headers import Headers
 
+from marjoramlead.answer_progress import (
+    AnswerProgress,
+    judge_reading,
+    note_reading,
+)
 from marjoramlead.bodies import MAX_UNREAD_BYTES, BodyStalledError, BodyStream
 from marjoramlead.body_progress import (
     BodyProgress,
@@ -45,7 +50,11 @@
     ConnectionTimers,
     HeadLimits,
 )
-from marjoramlead.direct_writes import discard_unsent, write_now
+from marjoramlead.direct_writes import (
+    discard_unsent,
+    unsent_bytes,
+    write_now,
+)
 from marjoramlead.events import emit
 from marjoramlead.eviction import OpenBody, choose_bodies
 from marjoramlead.headers import BODY_GRANTED
@@ -55,6 +64,7 @@
     open_hold,
     release,
     resize,
+    set_read,
     unlimited_budget,
 )
 from marjoramlead.problems import BufferedResponse
@@ -454,6 +464,8 @@
         self.joins_head = False
         self._head = b''
         self._unsent: list[Hold] = []
+        self._written = 0
+        self._answers = AnswerProgress()
         self._read_timer: Timer | None = None
         self._read_at: float = 0
         self._turn_timer: Timer | None = None
@@ -480,7 +492,7 @@
         for timer in (self._read_timer, self._turn_timer):
             if timer is not None and timer.active():
                 timer.cancel()
-        self._unsent.clear()
+        self._release_answers()
         release(self.hold)
         super().connectionLost(reason)
         self._head = b''
@@ -519,7 +531,7 @@
 
     def resumeProducing(self) -> None:
         """Release the responses that the operating system has accepted."""
-        self._unsent.clear()
+        self._release_answers()
         super().resumeProducing()
 
     def getPeer(self) -> IAddress:
@@ -572,6 +584,7 @@
         """Send a part of a response."""
         head = self._head
         self._head = b''
+        self._written += len(head) + len(data)
         write_now(self.transport, head + data)
 
     def keep_until_sent(self, hold: Hold | None) -> None:
@@ -582,7 +595,7 @@
     def release_sent(self) -> None:
         """Release the responses if the operating system has accepted all."""
         if not self.has_unsent_bytes():
-            self._unsent.clear()
+            self._release_answers()
 
     def allHeadersReceived(self) -> None:
         """Cancel the timeout of the head and the keep-alive timeout."""
@@ -650,6 +663,20 @@
         written = getattr(self.transport, '_tempDataLen', 0)
         return bool(self._waitingForTransport or unsent or written)
 
+    def judge_reading(self, now: float) -> None:
+        """Let the answers of a client that reads slowly give way."""
+        unsent = unsent_bytes(self.transport)
+        limits = self.site.clients.limits
+        self._answers.sent = self._written - unsent
+        judge_reading(
+            self._answers,
+            unsent,
+            limits.kept_answer_bytes_per_s,
+            limits.answer_window_s,
+            now,
+        )
+        note_reading(self._answers, self._unsent, self._end_answer)
+
     def refuse_slow_head(self) -> None:
         """Tell the caller that its request was not read, and close."""
         if not self.transport.disconnecting:
@@ -748,6 +775,16 @@
         body = self.requests[0].body if self.requests else None
         return len(body.unread) if body else 0
 
+    def _release_answers(self) -> None:
+        for hold in self._unsent:
+            set_read(hold)
+        self._unsent.clear()
+
+    def _end_answer(self) -> None:
+        emit('answer_ended', sent=self._answers.sent)
+        self.site.clients.ended_answers += 1
+        self.forceAbortClient()
+
     def _count_refused(self) -> None:
         emit('connection_refused')
         self.site.clients.refused_connections += 1
@@ -826,6 +863,8 @@
         The same for the bytes of refused bodies.
     ended_bodies
         Number of bodies that were ended, by reason.
+    ended_answers
+        Number of connections that were ended as their answers were read slowly.
     """
 
     limits: ProcessLimits = DEFAULT_LIMITS
@@ -834,6 +873,7 @@
     ahead: ReadPace = field(default_factory=lambda: ReadPace('requests'))
     discarded: ReadPace = field(default_factory=lambda: ReadPace('refused'))
     ended_bodies: Counter[str] = field(default_factory=Counter)
+    ended_answers: int = 0
     refused_connections: int = 0
     closed_idle: int = 0
 
@@ -916,10 +956,14 @@
             channel.release_sent()
 
     def end_stalled_bodies(self) -> None:
-        """Refuse bodies whose senders have stopped; call this periodically."""
+        """Refuse bodies whose senders have stopped, and find slow readers.
+
+        Call this several times a second.
+        """
         now = self.clock.seconds()
         self._evictable.clear()
         for channel in list(self.channels):
+            channel.judge_reading(now)
             for req in list(channel.requests):
                 req.end_if_stalled(now)
 
--- a/marjoramlead/memory_budget.py
+++ b/marjoramlead/memory_budget.py
@@ -29,6 +29,8 @@
     'resize_body',
     'set_arrived',
     'set_arriving',
+    'set_read',
+    'set_unread',
     'unlimited_budget',
 )
 
@@ -60,6 +62,8 @@
         Bytes that messages may take, and bytes that they take now.
     arriving
         Holds of answers that are arriving, which may be given up.
+    unread
+        Holds of answers that their clients read slowly, which give way first.
     given_up
         Number of answers that gave way to smaller ones.
     refused
@@ -72,6 +76,7 @@
     capacity: float
     used: int = 0
     arriving: 'set[Hold]' = field(default_factory=set)
+    unread: 'set[Hold]' = field(default_factory=set)
     given_up: int = 0
     refused: int = 0
     watches: 'set[_Watch]' = field(default_factory=set, repr=False)
@@ -166,20 +171,20 @@
 def resize(hold: Hold, size: int) -> bool:
     """Change the size of a message; return whether it fits.
 
-    The size is not changed if it does not fit. Larger answers that are arriving
-    give way to it.
+    The size is not changed if it does not fit. Answers that are read slowly
+    give way to it, and larger ones that are arriving.
     """
     charge = hold.charge
     budget = charge.budget
     while _exceeds(budget, size - charge.size):
+        if budget.unread:
+            _give_up(budget, max(budget.unread, key=held_bytes))
+            continue
         largest = max(budget.arriving, key=held_bytes, default=hold)
         if largest is hold or held_bytes(largest) < size:
             budget.refused += 1
             return False
-        budget.given_up += 1
-        set_arrived(largest)
-        release(largest)
-        largest.give_up()
+        _give_up(budget, largest)
     budget.used += size - charge.size
     charge.size = size
     return True
@@ -193,6 +198,8 @@
     budget = hold.charge.budget
     added = size - hold.charge.size
     left = budget.capacity * (1 - RESERVED_SHARE)
+    while budget.unread and added > 0 and budget.used + added > left:
+        _give_up(budget, max(budget.unread, key=held_bytes))
     if added > 0 and size > SMALL_BODY_BYTES and budget.used + added > left:
         budget.refused += 1
         return False
@@ -210,11 +217,30 @@
     hold.charge.budget.arriving.add(hold)
 
 
+def set_unread(hold: Hold, give_up: Callable[[], None]) -> None:
+    """Note that a client reads an answer slowly, so that it may be given up."""
+    hold.give_up = give_up
+    hold.charge.budget.unread.add(hold)
+
+
+def set_read(hold: Hold) -> None:
+    """Note that a client reads an answer, or that it is not sent any more."""
+    hold.charge.budget.unread.discard(hold)
+
+
 def set_arrived(hold: Hold) -> None:
     """Note that the message has arrived, or that its arrival has ended."""
     hold.charge.budget.arriving.discard(hold)
 
 
+def _give_up(budget: MemoryBudget, hold: Hold) -> None:
+    budget.given_up += 1
+    set_arrived(hold)
+    set_read(hold)
+    release(hold)
+    hold.give_up()
+
+
 def _exceeds(budget: MemoryBudget, added: int) -> bool:
     return added > 0 and budget.used + added > budget.capacity
 
--- a/marjoramlead/sidecar_status.py
+++ b/marjoramlead/sidecar_status.py
@@ -51,6 +51,7 @@
         'stalled_bodies': lambda site: site.clients.ended_bodies['stalled'],
         'ended_discards': lambda site: site.clients.ended_bodies['refused'],
         'evicted_bodies': lambda site: site.clients.ended_bodies['port_full'],
+        'evicted_answers': lambda site: site.clients.ended_answers,
         'discard_waits': lambda site: site.clients.discarded.waits,
         'refused_connections': lambda site: site.clients.refused_connections,
         'closed_idle': lambda site: site.clients.closed_idle,
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -309,17 +309,17 @@
     return int(first.split()[1])
 
 
-async def ask_small(system, node):
+async def ask_small(system, node, path='/small/x'):
     """Send one ordinary request to a node."""
     number = f'ordinary-{next(numbers)}'
-    raw = head_of(number, path='/small/x', method='GET')
+    raw = head_of(number, path=path, method='GET')
     return await ask(node.address, system.ports['outbound'], raw)
 
 
-async def ask_until_served(system, node):
+async def ask_until_served(system, node, path='/small/x'):
     """Return whether an ordinary client is served that heeds refusals."""
     for _attempt in range(30):
-        if await ask_small(system, node) == 200:
+        if await ask_small(system, node, path) == 200:
             return True
         await asyncio.sleep(1)
     return False
