Known red: what has been received and not been read exceeds the memory

Cause: a receive buffer grows to 128 KB here, for each of 2,100 connections, and no budget counts it. The windows of the deployments are smaller, so that their figure is not known.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -424,6 +424,17 @@
     return int(read_status(node)['VmHWM']) * 1024 / 1e6
 
 
+def unread_mb(system, node):
+    """Return what has been received for a node and not been read, in MB."""
+    octets = reversed(node.address.split('.'))
+    host = ''.join(f'{int(octet):02X}' for octet in octets)
+    own = {f'{host}:{port:04X}' for port in system.ports.values()}
+    rows = Path('/proc/net/tcp').read_text().splitlines()[1:]
+    fields = [row.split() for row in rows]
+    queues = [each[4] for each in fields if each[1] in own]
+    return sum(int(queue.partition(':')[2], 16) for queue in queues) / 1e6
+
+
 def descriptors(node):
     """Return the number of open descriptors of a process."""
     return len(list(Path(f'/proc/{node.process.pid}/fd').iterdir()))
