Names and comments of the limits on clients, as a newcomer reads them

`is_unused` stood beside `is_used` and meant something else; a "turn" is a throttled request, a body that gives way is evicted, and `skip_answer` of the tests reads the whole answer. Figures of past runs leave two comments.

--- a/marjoramlead/answer_progress.py
+++ b/marjoramlead/answer_progress.py
@@ -18,7 +18,7 @@
     'KEPT_ANSWER_BYTES_PER_S',
     'AnswerProgress',
     'judge_reading',
-    'note_reading',
+    'mark_slow_answers',
 )
 
 # Rate of a link of 131 kbit/s.
@@ -93,7 +93,7 @@
     progress.judge_at = now + window_s
 
 
-def note_reading(
+def mark_slow_answers(
     progress: AnswerProgress, answers: Iterable[Hold], end: Callable[[], None]
 ) -> None:
     """Let the answers of a client give way as long as it reads slowly.
--- a/marjoramlead/http_server.py
+++ b/marjoramlead/http_server.py
@@ -29,7 +29,7 @@
 from marjoramlead.answer_progress import (
     AnswerProgress,
     judge_reading,
-    note_reading,
+    mark_slow_answers,
 )
 from marjoramlead.bodies import MAX_UNREAD_BYTES, BodyStalledError, BodyStream
 from marjoramlead.body_progress import (
@@ -101,13 +101,13 @@
 MAX_UNPARSED_PARTS: Final = 16
 # Bytes of heads that are parsed at a time; taking a line copies the rest.
 HEAD_PART_BYTES: Final = 4_096
-# Digits of a length; Python limits how many it converts.
+# More digits than any length has; Python refuses to convert thousands.
 MAX_LENGTH_DIGITS: Final = 18
 # Headers of an ordinary request, whose memory is counted with the request, and
 # memory of each further one.
 ORDINARY_HEADERS: Final = 24
 HEADER_BYTES: Final = 300
-# Time between two looks at which bodies may be ended.
+# Minimum time between two rankings of the bodies that may be evicted.
 EVICTION_INTERVAL_S: Final = 0.1
 EXPECT_HEADER: Final = b'Expect'
 HEAD_TIMEOUT_RESPONSE: Final = (
@@ -468,7 +468,7 @@
         self._answers = AnswerProgress()
         self._read_timer: Timer | None = None
         self._read_at: float = 0
-        self._turn_timer: Timer | None = None
+        self._throttle_timer: Timer | None = None
         self._ahead = b''
         self._head_bytes = 0
 
@@ -489,7 +489,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Remove the connection and cancel its timers."""
         self.timers.cancel()
-        for timer in (self._read_timer, self._turn_timer):
+        for timer in (self._read_timer, self._throttle_timer):
             if timer is not None and timer.active():
                 timer.cancel()
         self._release_answers()
@@ -619,7 +619,7 @@
         self._ahead = b''.join([*self._dataBuffer, self._ahead])
         self._dataBuffer = []
         if self.persistent and (self._ahead.strip() or self._buffer.strip()):
-            self._wait_for_turn()
+            self._throttle_next_request()
         super().requestDone(request)
         if self.persistent:
             self._await_next_request()
@@ -629,8 +629,8 @@
         self.site.idle[self] = None
         self.timers.start_idle_period()
 
-    def is_unused(self) -> bool:
-        """Return whether no request is in progress or waits for its turn."""
+    def is_between_requests(self) -> bool:
+        """Return whether no request is in progress or delayed."""
         return not (self.requests or self.paused)
 
     def is_reading(self) -> bool:
@@ -675,7 +675,7 @@
             limits.answer_window_s,
             now,
         )
-        note_reading(self._answers, self._unsent, self._end_answer)
+        mark_slow_answers(self._answers, self._unsent, self._end_answer)
 
     def refuse_slow_head(self) -> None:
         """Tell the caller that its request was not read, and close."""
@@ -705,8 +705,8 @@
             is_stopped = self.paused or self.transport.disconnecting
             has_more = bool(self._ahead) and not is_stopped
 
-    def _wait_for_turn(self) -> None:
-        """Parse the next request after those of other connections."""
+    def _throttle_next_request(self) -> None:
+        """Delay the next pipelined request if the port has had too many."""
         clients = self.site.clients
         now = self.site.clock.seconds()
         read_at = charge_request(
@@ -714,8 +714,8 @@
         )
         if read_at is not None:
             self.paused = True
-            self._turn_timer = self.site.clock.callLater(
-                read_at - now, self._take_turn
+            self._throttle_timer = self.site.clock.callLater(
+                read_at - now, self._resume_parsing
             )
 
     def _await_next_request(self) -> None:
@@ -727,7 +727,7 @@
         elif not self._has_part_of_head():
             self.start_idle_period()
 
-    def _take_turn(self) -> None:
+    def _resume_parsing(self) -> None:
         if self.transport.disconnecting:
             return
         self.paused = False
@@ -917,7 +917,7 @@
         self.idle: dict[_StreamChannel, None] = {}
         self.clients = ClientState()
         self._evictable: list[StreamRequest] = []
-        self._look_again_at: float = 0
+        self._rank_again_at: float = 0
         self._all_closed: Deferred[None] = Deferred()
         self.protocol = self._build_channel  # type: ignore[method-assign, assignment]
 
@@ -930,7 +930,7 @@
         A new connection stays open, because its first request is on its way.
         """
         for channel in list(self.channels):
-            if channel.is_used and channel.is_unused():
+            if channel.is_used and channel.is_between_requests():
                 channel.loseConnection()
 
     def close(self) -> Deferred[None]:
@@ -972,7 +972,7 @@
         clients = self.clients
         limit = clients.limits.max_sockets * clients.socket_share
         is_full = len(self.channels) > limit
-        return not is_full or self.close_oldest_idle() or self._end_body()
+        return not is_full or self.close_oldest_idle() or self._evict_body()
 
     def close_oldest_idle(self) -> bool:
         """Close the connection that is idle for longest, if there is one."""
@@ -995,11 +995,11 @@
         if is_last and not self._all_closed.called:
             self._all_closed.callback(None)
 
-    def _end_body(self) -> bool:
+    def _evict_body(self) -> bool:
         """End a body in favour of a new connection, if one may be ended."""
         now = self.clock.seconds()
-        if now >= self._look_again_at:
-            self._look_again_at = now + EVICTION_INTERVAL_S
+        if now >= self._rank_again_at:
+            self._rank_again_at = now + EVICTION_INTERVAL_S
             self._evictable = self._choose_bodies(now)
         while self._evictable:
             req = self._evictable.pop()
@@ -1027,7 +1027,7 @@
 
     def _close_unused(self) -> None:
         for channel in list(self.channels):
-            if channel.is_unused():
+            if channel.is_between_requests():
                 channel.loseConnection()
 
     def _build_channel(self) -> _StreamChannel:
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -364,7 +364,7 @@
             reader, writer = await asyncio.open_connection(*address)
         writer.write(raw)
         try:
-            is_kept = await skip_answer(reader)
+            is_kept = await read_answer(reader)
         except (asyncio.IncompleteReadError, OSError):
             is_kept = False
         if not is_kept:
@@ -374,8 +374,8 @@
         writer.transport.abort()
 
 
-async def skip_answer(reader):
-    """Read an answer, and return whether the connection is kept."""
+async def read_answer(reader):
+    """Read a whole answer, and return whether the connection stays open."""
     first, fields = await read_head(reader)
     while first.split()[1].startswith('1'):
         first, fields = await read_head(reader)
--- a/tests/test_answer_progress.py
+++ b/tests/test_answer_progress.py
@@ -5,7 +5,7 @@
     KEPT_ANSWER_BYTES_PER_S,
     AnswerProgress,
     judge_reading,
-    note_reading,
+    mark_slow_answers,
 )
 from marjoramlead.memory_budget import (
     MemoryBudget,
@@ -53,7 +53,7 @@
     message = open_hold(budget)
     assert not resize(message, 600)
     progress = AnswerProgress(is_slow=True)
-    note_reading(progress, answers[:2], lambda: ended.append(1))
+    mark_slow_answers(progress, answers[:2], lambda: ended.append(1))
     assert resize(message, 600)
     assert len(ended) == 2
     assert held_bytes(answers[2]) == 300
@@ -65,8 +65,8 @@
     answer, message = open_hold(budget), open_hold(budget)
     assert resize(answer, 900)
     progress = AnswerProgress(is_slow=True)
-    note_reading(progress, [answer], lambda: None)
+    mark_slow_answers(progress, [answer], lambda: None)
     progress.is_slow = False
-    note_reading(progress, [answer], lambda: None)
+    mark_slow_answers(progress, [answer], lambda: None)
     assert not resize(message, 600)
     assert held_bytes(answer) == 900
--- a/tests/test_crowds_in_sequence.py
+++ b/tests/test_crowds_in_sequence.py
@@ -84,7 +84,7 @@
     await asyncio.gather(*sending)
 
 
-# Memory: 152 MB, for the same reason.
+# Closed connections kept what they had not sent.
 def test_each_crowd_after_another_one_that_has_left(tmp_path):
     crowds = [crowd_by_name(name) for name in CROWDS]
     check(asyncio.run(play(tmp_path, crowds)))
@@ -94,7 +94,7 @@
     check(asyncio.run(play(tmp_path, [at_all_nodes_and_ports])))
 
 
-# Memory: 169 to 212 MB, as closed connections kept what they had not sent.
+# Closed connections kept what they had not sent, until garbage was collected.
 def test_unread_answers_after_clients_that_read_slowly_and_left(tmp_path):
     crowds = ROUNDS * [read_slowly_and_leave] + ROUNDS * [read_nothing]
     check(asyncio.run(play(tmp_path, crowds)))
--- a/tests/test_unread_answers.py
+++ b/tests/test_unread_answers.py
@@ -49,13 +49,13 @@
 
 async def read_little(system):
     until = time.monotonic() + HELD_S
-    system.tasks = [
+    readers = [
         asyncio.create_task(
             read_slowly(system.address(), request(number), 1_000, 0.25, until)
         )
         for number in range(CLIENTS)
     ]
-    await asyncio.sleep(5)
+    await asyncio.wait(readers, timeout=5)
 
 
 async def play(folder, crowd):
